--- /dev/null
+++ b/cmd/crocusrackd/libc.go
@@ -0,0 +1,3 @@
+package main
+
+import "C" // Links the daemon against the system's C library, as the users run it.
--- a/cmd/crocusrackd/main.go
+++ b/cmd/crocusrackd/main.go
@@ -9,6 +9,7 @@
 	"github.com/google/subcommands"
 
 	"crocusrack/io/crprogram"
+	crplatform "crocusrack/platform"
 )
 
 func main() {
@@ -17,6 +18,7 @@
 	for _, c := range crprogram.Commands() {
 		subcommands.Register(c, "")
 	}
+	subcommands.Register(&crprogram.Route{Adapt: crplatform.Adapt}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/core/crgrant/grant.go
@@ -0,0 +1,299 @@
+// Package crgrant gives requests the right to be sent to an endpoint. A State
+// joins what an instance knows of the fleet: the work in flight, the contexts
+// that endpoints hold, their health, the other instances, and the retries that
+// are left. It does no I/O, takes the time from its caller and is safe for
+// concurrent use.
+package crgrant
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"crocusrack/core/crcontext"
+	"crocusrack/core/crevidence"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crledger"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crretry"
+	"crocusrack/core/crroster"
+	"crocusrack/core/crroute"
+	pb "crocusrack/schema/crrouter"
+)
+
+// RetryLimit is the bound on arrivals at a service's endpoints beyond the first
+// of each request, over all instances.
+type RetryLimit struct {
+	// Share is the part of the requests that may be repeated.
+	Share float64
+	// Slack is how many more may be repeated in a window.
+	Slack  float64
+	Window time.Duration
+}
+
+// spentShare is the part of the retry limit that instances use: the rest is for
+// moments in which they disagree on how many they are.
+const spentShare = 0.7
+
+// State is an instance's view of the fleet. Set the exported fields before
+// first use.
+type State struct {
+	Self    crroster.Instance
+	Run     uint64
+	Retries RetryLimit
+	// Elapsed reads a clock that counts suspension.
+	Elapsed func() time.Duration
+	// Evidence is how old the routing is.
+	Evidence crevidence.Evidence
+
+	mu       sync.Mutex
+	once     sync.Once
+	roster   crroster.Roster
+	work     crledger.Ledger
+	contexts crcontext.Table
+	health   crhealth.Table
+	placer   crplace.Placer
+	cold     crplace.ColdGate
+	budgets  map[string]*crretry.Budget
+	table    *crroute.Table
+	routing  *pb.Routing
+
+	endpoints         []*crplace.Endpoint
+	endpointsRevision uint64
+	outs              map[string]bool
+	outsRevision      uint64
+
+	reports reports
+	now     time.Time
+}
+
+func (s *State) init() {
+	s.once.Do(func() {
+		s.roster.Self = s.Self
+		s.budgets = make(map[string]*crretry.Budget)
+		s.outs = make(map[string]bool)
+		s.cold.Roster = &s.roster
+		s.placer = crplace.Placer{
+			FailureDomain: s.Self.FailureDomain,
+			Work:          &s.work,
+			Contexts:      &s.contexts,
+			Health:        &s.health,
+			Cold: func(e *crplace.Endpoint, perSecond float64) bool {
+				return s.cold.Admit(s.now, e, perSecond)
+			},
+			Out: func(domain string) bool { return s.outs[domain] },
+		}
+		s.placer.SetEndpoints(nil)
+	})
+}
+
+// lock locks the state for a call at a time.
+func (s *State) lock(now time.Time) {
+	s.init()
+	s.mu.Lock()
+	s.now = now
+	s.work.Lapse(now.Add(-crroster.SilentAfter))
+}
+
+// Table returns the routing in force, or nil before the first one.
+func (s *State) Table() *crroute.Table {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table
+}
+
+// Ask is a request that wants an endpoint.
+type Ask struct {
+	Service crroute.Service
+	Links   []crcontext.Link
+	Tried   []crledger.Key
+}
+
+// Grant is the right to send one request to one endpoint. End it once.
+type Grant struct {
+	crplace.Choice
+	state *State
+	links []crcontext.Link
+	ended bool
+}
+
+// Grant chooses an endpoint and counts the request in. The grant's reason is
+// not Chosen when there is no endpoint.
+func (s *State) Grant(now time.Time, a Ask) *Grant {
+	s.lock(now)
+	defer s.mu.Unlock()
+	choice := s.placer.Place(now, crplace.Ask{
+		Service:       a.Service.Name,
+		ColdPerSecond: a.Service.ColdPerSecond,
+		Links:         a.Links,
+		Tried:         a.Tried,
+		Random:        rand.Uint64(),
+	})
+	g := &Grant{Choice: choice, state: s, links: a.Links}
+	if choice.Endpoint == nil {
+		if choice.Reason == crplace.Cold {
+			if at := s.placer.Soonest(now, a.Service.Name); !at.IsZero() {
+				g.RetryAfter = at.Sub(now)
+			}
+		}
+		return g
+	}
+	s.work.Start(choice.Endpoint.Key)
+	s.note(now, a.Links, choice.Endpoint.Key)
+	return g
+}
+
+// note notes that an endpoint will hold a prompt. Others are told of the part
+// that further requests share.
+func (s *State) note(now time.Time, links []crcontext.Link, k crledger.Key) {
+	for _, l := range links {
+		s.contexts.Note(now, l.Chain, k)
+	}
+	if len(links) > 0 {
+		shared := links[max(0, len(links)-2)]
+		s.reports.context(now, &pb.Context{Chain: shared.Chain, Endpoint: uint64(k), Tokens: uint32(shared.Tokens)})
+	}
+}
+
+// Valid reports whether the request may still be sent: the endpoint has not
+// begun to leave, and its failure domain is in service.
+func (g *Grant) Valid(now time.Time) bool {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.placer.MayUse(g.Endpoint.Key)
+}
+
+// End counts the request out and notes what it showed of the endpoint. It
+// reports whether the endpoint was put out of use for that.
+func (g *Grant) End(now time.Time, o crhealth.Outcome) bool {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	if g.ended {
+		return false
+	}
+	g.ended = true
+	s.work.End(g.Endpoint.Key)
+	return s.health.Note(now, g.Endpoint.Key, o, s.placer.UsualRate(g.Endpoint.Service, g.Endpoint.Key))
+}
+
+// Drop counts a request out that showed nothing of the endpoint, such as one
+// whose caller left.
+func (g *Grant) Drop(now time.Time) {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	if !g.ended {
+		g.ended = true
+		s.work.End(g.Endpoint.Key)
+	}
+}
+
+// Request counts a first attempt for a service's budget of retries.
+func (s *State) Request(now time.Time, service string) {
+	s.lock(now)
+	defer s.mu.Unlock()
+	s.budget(now, service).Request(now)
+}
+
+// Retry takes one retry out of a service's budget and reports whether it was
+// there.
+func (s *State) Retry(now time.Time, service string) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.budget(now, service).Spend(now)
+}
+
+// budget returns this instance's part of a service's budget.
+func (s *State) budget(now time.Time, service string) *crretry.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = &crretry.Budget{}
+		s.budgets[service] = b
+	}
+	b.Share = s.Retries.Share * spentShare
+	b.Window = s.Retries.Window
+	b.MinPerSecond = s.Retries.Slack * spentShare / s.Retries.Window.Seconds() / float64(s.roster.Size(now)) / 2
+	return b
+}
+
+// SetRouting puts a version in force unless a newer one is. It reports whether
+// the version is new.
+func (s *State) SetRouting(m *pb.Routing) bool {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table != nil && m.GetVersion() <= s.table.Version {
+		return false
+	}
+	s.table, s.routing = crroute.New(m), m
+	return true
+}
+
+// SetEndpoints replaces the endpoints by those of a newer revision.
+func (s *State) SetEndpoints(now time.Time, revision uint64, list []*crplace.Endpoint) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	if revision <= s.endpointsRevision {
+		return false
+	}
+	s.endpoints, s.endpointsRevision = list, revision
+	s.placer.SetEndpoints(list)
+	s.cold.Forget(func(k crledger.Key) bool { return s.placer.Endpoint(k) != nil })
+	return true
+}
+
+// SetOuts replaces the failure domains that are out of service by those of a
+// newer revision.
+func (s *State) SetOuts(revision uint64, domains []string) bool {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision <= s.outsRevision {
+		return false
+	}
+	s.outs, s.outsRevision = make(map[string]bool), revision
+	for _, d := range domains {
+		s.outs[d] = true
+	}
+	return true
+}
+
+// SetSelf sets what this instance says of itself.
+func (s *State) SetSelf(set func(*crroster.Status)) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	set(&s.roster.Status)
+}
+
+// Fronts returns the addresses for a caller in a failure domain.
+func (s *State) Fronts(now time.Time, domain string) []netip.AddrPort {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Fronts(now, domain)
+}
+
+// Watches reports whether this instance is to watch the store.
+func (s *State) Watches(now time.Time) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Watches(now)
+}
+
+// Alive returns the other live instances.
+func (s *State) Alive(now time.Time) []crroster.Instance {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Alive(now)
+}
+
+// Load returns the work of a service and the slots of its endpoints.
+func (s *State) Load(now time.Time, service string) (work, slots int) {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.placer.Load(service)
+}
--- /dev/null
+++ b/core/crgrant/report.go
@@ -0,0 +1,306 @@
+package crgrant
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"crocusrack/core/crledger"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroster"
+	pb "crocusrack/schema/crrouter"
+)
+
+const (
+	// contextRepeat is how long a context is told: in two or three reports, as
+	// datagrams get lost.
+	contextRepeat = 450 * time.Millisecond
+	// maxContexts and maxWork bound a report to what fits in few datagrams.
+	maxContexts = 24
+	maxWork     = 200
+)
+
+// reports is what is kept for the reports to other instances.
+type reports struct {
+	sequence uint64
+	recent   []recentContext
+	peers    map[string]*echo
+}
+
+type recentContext struct {
+	at time.Time
+	*pb.Context
+}
+
+// echo is the newest stamp of another instance.
+type echo struct {
+	run   uint64
+	stamp time.Duration
+}
+
+func (r *reports) context(now time.Time, c *pb.Context) {
+	r.recent = slices.DeleteFunc(r.recent, func(o recentContext) bool {
+		return now.Sub(o.at) > contextRepeat || o.Chain == c.GetChain() && o.Endpoint == c.GetEndpoint()
+	})
+	if len(r.recent) < maxContexts {
+		r.recent = append(r.recent, recentContext{now, c})
+	}
+}
+
+// Targets returns the instances to send reports to.
+func (s *State) Targets(now time.Time) []crroster.Instance {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Targets(now)
+}
+
+// Add notes an instance that the store or a peer named.
+func (s *State) Add(now time.Time, i crroster.Instance) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Add(now, i)
+}
+
+// Compose makes the report to an instance; the name is empty when it isn't
+// known yet.
+func (s *State) Compose(now time.Time, to string) *pb.Report {
+	s.lock(now)
+	defer s.mu.Unlock()
+	s.reports.sequence++
+	reading := s.Elapsed()
+	m := &pb.Report{
+		From:              peerProto(s.Self),
+		Run:               s.Run,
+		Sequence:          s.reports.sequence,
+		Ready:             s.roster.Status.Ready,
+		Leaving:           s.roster.Status.Leaving,
+		StoreLost:         s.roster.Status.StoreLost,
+		Stamp:             durationpb.New(reading),
+		EndpointsRevision: s.endpointsRevision,
+		OutsRevision:      s.outsRevision,
+	}
+	if s.table != nil {
+		m.RoutingVersion = s.table.Version
+		if age, ok := s.Evidence.Age(reading); ok {
+			m.RoutingAge = durationpb.New(age)
+		}
+	}
+	if e := s.reports.peers[to]; e != nil {
+		m.Echo, m.EchoRun = durationpb.New(e.stamp), e.run
+	}
+	for k, n := range s.work.Own() {
+		if len(m.Work) < maxWork {
+			m.Work = append(m.Work, &pb.Work{Endpoint: uint64(k), Requests: uint32(n)})
+		}
+	}
+	for _, c := range s.reports.recent {
+		if now.Sub(c.at) <= contextRepeat {
+			m.Contexts = append(m.Contexts, c.Context)
+		}
+	}
+	for _, k := range s.health.Ejected(now) {
+		m.Unreachable = append(m.Unreachable, uint64(k))
+	}
+	return m
+}
+
+// Introduce returns the report with all instances that this one knows, for one
+// that has just started.
+func (s *State) Introduce(now time.Time, m *pb.Report) {
+	for _, i := range s.Targets(now) {
+		m.Peers = append(m.Peers, peerProto(i))
+	}
+}
+
+// Heard is what the receiver of a report is to do.
+type Heard struct {
+	From crroster.Instance
+	// New is true for the first report of a run of an instance.
+	New bool
+	// Behind is true when the sender has something newer.
+	Behind bool
+}
+
+// Receive takes a report in.
+func (s *State) Receive(now time.Time, m *pb.Report) (Heard, error) {
+	from, err := peerFromProto(m.GetFrom())
+	if err != nil {
+		return Heard{}, fmt.Errorf("report: %w", err)
+	}
+	s.lock(now)
+	defer s.mu.Unlock()
+	for _, p := range m.GetPeers() {
+		i, err := peerFromProto(p)
+		if err != nil {
+			return Heard{}, fmt.Errorf("report of %s: %w", from.Name, err)
+		}
+		s.roster.Add(now, i)
+	}
+	known := s.roster.IsAlive(now, from.Name, m.GetRun())
+	if !s.roster.Report(now, from, crroster.Status{
+		Run:       m.GetRun(),
+		Sequence:  m.GetSequence(),
+		Ready:     m.GetReady(),
+		Leaving:   m.GetLeaving(),
+		StoreLost: m.GetStoreLost(),
+	}) {
+		return Heard{From: from}, nil
+	}
+	s.takeEcho(from.Name, m)
+	s.takeWork(now, from.Name, m)
+	return Heard{From: from, New: !known, Behind: s.behind(m)}, nil
+}
+
+// takeEcho keeps the sender's stamp and, if our routing is as new, its
+// evidence. The echo of a stamp of an earlier run of this process is of no use:
+// the clock may have started anew since.
+func (s *State) takeEcho(name string, m *pb.Report) {
+	if s.reports.peers == nil {
+		s.reports.peers = make(map[string]*echo)
+	}
+	s.reports.peers[name] = &echo{run: m.GetRun(), stamp: m.GetStamp().AsDuration()}
+	if m.Echo == nil || m.RoutingAge == nil || s.table == nil || m.GetRoutingVersion() > s.table.Version {
+		return
+	}
+	if m.GetEchoRun() != s.Run {
+		return
+	}
+	s.Evidence.Heard(m.GetEcho().AsDuration(), m.GetRoutingAge().AsDuration())
+}
+
+func (s *State) takeWork(now time.Time, name string, m *pb.Report) {
+	work := make(map[crledger.Key]int, len(m.GetWork()))
+	for _, w := range m.GetWork() {
+		work[crledger.Key(w.GetEndpoint())] = int(w.GetRequests())
+	}
+	s.work.Report(now, name, work)
+	for _, c := range m.GetContexts() {
+		s.contexts.Note(now, c.GetChain(), crledger.Key(c.GetEndpoint()))
+	}
+	for _, k := range m.GetUnreachable() {
+		s.health.Heard(now, crledger.Key(k))
+	}
+}
+
+func (s *State) behind(m *pb.Report) bool {
+	version := uint64(0)
+	if s.table != nil {
+		version = s.table.Version
+	}
+	return m.GetRoutingVersion() > version ||
+		m.GetEndpointsRevision() > s.endpointsRevision ||
+		m.GetOutsRevision() > s.outsRevision
+}
+
+// Have returns the versions that this instance has.
+func (s *State) Have() (routing, endpoints, outs uint64) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table != nil {
+		routing = s.table.Version
+	}
+	return routing, s.endpointsRevision, s.outsRevision
+}
+
+// Snapshot returns what is newer than the given versions.
+func (s *State) Snapshot(now time.Time, routing, endpoints, outs uint64) *pb.Snapshot {
+	s.lock(now)
+	defer s.mu.Unlock()
+	m := &pb.Snapshot{}
+	if s.table != nil && s.table.Version > routing {
+		m.Routing = s.routing
+	}
+	if s.endpointsRevision > endpoints {
+		m.Endpoints = &pb.Endpoints{Revision: s.endpointsRevision}
+		for _, e := range s.endpoints {
+			m.Endpoints.Endpoints = append(m.Endpoints.Endpoints, endpointProto(now, e))
+		}
+	}
+	if s.outsRevision > outs {
+		m.Outs = &pb.Outs{Revision: s.outsRevision}
+		for d := range s.outs {
+			m.Outs.FailureDomains = append(m.Outs.FailureDomains, d)
+		}
+	}
+	return m
+}
+
+// Adopt takes what is newer in a peer's snapshot.
+func (s *State) Adopt(now time.Time, m *pb.Snapshot) error {
+	if m.Routing != nil {
+		s.SetRouting(m.GetRouting())
+	}
+	if m.Endpoints != nil {
+		var list []*crplace.Endpoint
+		for _, e := range m.GetEndpoints().GetEndpoints() {
+			endpoint, err := NewEndpoint(now, e)
+			if err != nil {
+				return fmt.Errorf("snapshot: %w", err)
+			}
+			list = append(list, endpoint)
+		}
+		s.SetEndpoints(now, m.GetEndpoints().GetRevision(), list)
+	}
+	if m.Outs != nil {
+		s.SetOuts(m.GetOuts().GetRevision(), m.GetOuts().GetFailureDomains())
+	}
+	return nil
+}
+
+// NewEndpoint converts an endpoint as it was read at a time.
+func NewEndpoint(now time.Time, m *pb.Endpoint) (*crplace.Endpoint, error) {
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return nil, fmt.Errorf("endpoint %s: %w", m.GetId(), err)
+	}
+	e := &crplace.Endpoint{
+		ID:            m.GetId(),
+		Key:           crplace.KeyOf(m.GetId(), m.GetIncarnation()),
+		Incarnation:   m.GetIncarnation(),
+		Service:       m.GetService(),
+		Address:       address,
+		FailureDomain: m.GetFailureDomain(),
+		Slots:         int(m.GetSlots()),
+		Draining:      m.GetDraining(),
+	}
+	if left := m.GetColdLeft().AsDuration(); left > 0 {
+		e.ColdUntil = now.Add(left)
+	}
+	return e, nil
+}
+
+func endpointProto(now time.Time, e *crplace.Endpoint) *pb.Endpoint {
+	m := &pb.Endpoint{
+		Id:            e.ID,
+		Incarnation:   e.Incarnation,
+		Service:       e.Service,
+		Address:       e.Address.String(),
+		FailureDomain: e.FailureDomain,
+		Slots:         uint32(e.Slots),
+		Draining:      e.Draining,
+	}
+	if left := e.ColdUntil.Sub(now); left > 0 {
+		m.ColdLeft = durationpb.New(left)
+	}
+	return m
+}
+
+func peerProto(i crroster.Instance) *pb.Peer {
+	return &pb.Peer{Name: i.Name, FailureDomain: i.FailureDomain, Front: i.Front.String(), Peer: i.Peer.String()}
+}
+
+func peerFromProto(m *pb.Peer) (crroster.Instance, error) {
+	front, err := netip.ParseAddrPort(m.GetFront())
+	if err != nil {
+		return crroster.Instance{}, fmt.Errorf("front of instance %q: %w", m.GetName(), err)
+	}
+	peer, err := netip.ParseAddrPort(m.GetPeer())
+	if err != nil {
+		return crroster.Instance{}, fmt.Errorf("peer address of instance %q: %w", m.GetName(), err)
+	}
+	return crroster.Instance{Name: m.GetName(), FailureDomain: m.GetFailureDomain(), Front: front, Peer: peer}, nil
+}
--- /dev/null
+++ b/core/crplace/place.go
@@ -0,0 +1,353 @@
+// Package crplace chooses the endpoint of a request: the one that holds the
+// most of its prompt, unless that has too much work already, and the least
+// loaded one otherwise. It does no I/O and takes the time from its caller. A
+// Placer is not safe for concurrent use.
+package crplace
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"crocusrack/core/crcontext"
+	"crocusrack/core/crhash"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crledger"
+)
+
+const (
+	// boundFactor and boundSlack bound the work of an endpoint to a multiple of
+	// the mean and some requests more. The users allow twice the mean and three;
+	// the rest is for requests that other instances have placed and not yet
+	// reported.
+	boundFactor = 1.6
+	boundSlack  = 2.0
+	// spreadFactor and spreadSlack tell up to which load a holder is taken
+	// before any other endpoint.
+	spreadFactor = 1.3
+	spreadSlack  = 1.5
+	// foreignDomain is the work that a plain service's endpoint in another
+	// failure domain must have less to be taken.
+	foreignDomain = 1.0
+	// queueShare is how many requests may wait at an endpoint, as a share of
+	// its slots.
+	queueShare = 1.0
+	// fetchTokens is the least context that is worth a transfer between
+	// endpoints: reading fewer takes less time than the set-up.
+	fetchTokens = 256
+	// maxEjected is the largest share of a service's endpoints that is left
+	// out for their failures.
+	maxEjected = 0.5
+	// busyRetry is after what time a request may come back when all endpoints
+	// are full: by then some of the requests in flight have ended.
+	busyRetry = 300 * time.Millisecond
+	// absentRetry is after what time a request may come back when the service
+	// has no endpoint that may be used.
+	absentRetry = 500 * time.Millisecond
+)
+
+// Endpoint is one endpoint.
+type Endpoint struct {
+	ID  string
+	Key crledger.Key
+	// Incarnation changes at every start of the endpoint.
+	Incarnation uint64
+	Service     string
+	Address     netip.AddrPort
+	// FailureDomain is where it stands.
+	FailureDomain string
+	Slots         int
+	Draining      bool
+	// ColdUntil is when the endpoint bears its full load.
+	ColdUntil time.Time
+}
+
+// Ask is what is asked for.
+type Ask struct {
+	Service string
+	// ColdPerSecond is what a cold endpoint of the service bears; zero is no
+	// bound.
+	ColdPerSecond float64
+	// Links are the request's prompt; empty for plain services.
+	Links []crcontext.Link
+	// Tried are endpoints that the request was sent to already.
+	Tried []crledger.Key
+	// Random is a random number that decides between equals.
+	Random uint64
+}
+
+// Reason is why no endpoint was chosen.
+type Reason uint8
+
+// The reasons.
+const (
+	Chosen Reason = iota
+	// Absent: no endpoint of the service may be used.
+	Absent
+	// Busy: all have as much work as they may have.
+	Busy
+	// Cold: only cold ones are left, and they have what they bear.
+	Cold
+)
+
+var reasonNames = [...]string{Chosen: "chosen", Absent: "no-endpoint", Busy: "all-busy", Cold: "all-cold"}
+
+// String returns the reason in kebab case.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "unknown"
+}
+
+// Choice is an endpoint, or why there is none.
+type Choice struct {
+	Reason   Reason
+	Endpoint *Endpoint
+	// Source holds context that the endpoint lacks; nil when there is none
+	// worth a transfer.
+	Source *Endpoint
+	// Held and Wanted are the tokens that the endpoint holds and the prompt has.
+	Held, Wanted int
+	// InFlight and Mean are the work of the endpoint and of the service's mean
+	// endpoint when it was chosen.
+	InFlight int
+	Mean     float64
+	// RetryAfter is when a request that got no endpoint may come back.
+	RetryAfter time.Duration
+}
+
+// Placer chooses endpoints. Set the exported fields before first use; the
+// tables belong to the caller, who holds the lock that guards them.
+type Placer struct {
+	FailureDomain string
+	Work          *crledger.Ledger
+	Contexts      *crcontext.Table
+	Health        *crhealth.Table
+	// Cold reports whether a cold endpoint bears one more request from this
+	// instance now, and counts it.
+	Cold func(e *Endpoint, perSecond float64) bool
+	// Out reports whether a failure domain is out of service.
+	Out func(domain string) bool
+
+	services map[string][]*Endpoint
+	byKey    map[crledger.Key]*Endpoint
+}
+
+// KeyOf returns the key of an incarnation of an endpoint.
+func KeyOf(id string, incarnation uint64) crledger.Key {
+	return crledger.Key(crhash.Mix(crhash.Of(id), incarnation))
+}
+
+// SetEndpoints replaces the endpoints.
+func (p *Placer) SetEndpoints(list []*Endpoint) {
+	p.services = make(map[string][]*Endpoint)
+	p.byKey = make(map[crledger.Key]*Endpoint)
+	for _, e := range list {
+		p.services[e.Service] = append(p.services[e.Service], e)
+		p.byKey[e.Key] = e
+	}
+	p.Health.Forget(func(k crledger.Key) bool { return p.byKey[k] != nil })
+}
+
+// Endpoint returns an endpoint by its key, or nil when it is gone.
+func (p *Placer) Endpoint(k crledger.Key) *Endpoint { return p.byKey[k] }
+
+// MayUse reports whether an endpoint may still be sent a request.
+func (p *Placer) MayUse(k crledger.Key) bool {
+	e := p.byKey[k]
+	return e != nil && !e.Draining && !p.Out(e.FailureDomain)
+}
+
+// UsualRate returns the mean rate of failures of a service's endpoints other
+// than one.
+func (p *Placer) UsualRate(service string, except crledger.Key) float64 {
+	sum, count := 0.0, 0
+	for _, e := range p.services[service] {
+		if e.Key != except {
+			sum += p.Health.Rate(e.Key)
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / float64(count)
+}
+
+type candidate struct {
+	*Endpoint
+	work int
+	held int
+	cold bool
+}
+
+// Place chooses an endpoint.
+func (p *Placer) Place(now time.Time, a Ask) Choice {
+	held := p.Contexts.Held(now, a.Links)
+	list := p.candidates(now, a, held)
+	if len(list) == 0 {
+		return Choice{Reason: Absent, RetryAfter: absentRetry}
+	}
+	mean := p.mean(a.Service)
+	warm := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return c.cold || c.full(mean) })
+	if len(warm) > 0 {
+		return p.finish(a, held, p.best(a, warm, mean), mean)
+	}
+	cold := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return !c.cold || c.full(mean) })
+	slices.SortFunc(cold, byWork)
+	for _, c := range cold {
+		if p.Cold(c.Endpoint, a.ColdPerSecond) {
+			return p.finish(a, held, c, mean)
+		}
+	}
+	reason := Busy
+	if len(cold) > 0 {
+		reason = Cold
+	}
+	return Choice{Reason: reason, Mean: mean, RetryAfter: busyRetry}
+}
+
+// candidates returns the endpoints that may be used. Those that failed lately
+// are among them only when they would be too large a share of the service.
+func (p *Placer) candidates(now time.Time, a Ask, held map[crledger.Key]int) []candidate {
+	var healthy, ejected []candidate
+	for _, e := range p.services[a.Service] {
+		if e.Draining || p.Out(e.FailureDomain) || slices.Contains(a.Tried, e.Key) {
+			continue
+		}
+		c := candidate{
+			Endpoint: e,
+			work:     p.Work.InFlight(e.Key),
+			held:     held[e.Key],
+			cold:     a.ColdPerSecond > 0 && now.Before(e.ColdUntil),
+		}
+		if p.Health.Usable(now, e.Key) {
+			healthy = append(healthy, c)
+		} else {
+			ejected = append(ejected, c)
+		}
+	}
+	if float64(len(ejected)) > maxEjected*float64(len(healthy)+len(ejected)) {
+		return append(healthy, ejected...)
+	}
+	return healthy
+}
+
+// mean returns the mean work of a service's endpoints in use.
+func (p *Placer) mean(service string) float64 {
+	sum, count := 0, 0
+	for _, e := range p.services[service] {
+		sum += p.Work.InFlight(e.Key)
+		if !e.Draining {
+			count++
+		}
+	}
+	return float64(sum) / float64(max(count, 1))
+}
+
+func (c candidate) full(mean float64) bool {
+	if float64(c.work) >= boundFactor*mean+boundSlack {
+		return true
+	}
+	return c.Slots > 0 && float64(c.work) >= float64(c.Slots)*(1+queueShare)
+}
+
+func byWork(a, b candidate) int { return cmp.Compare(a.work, b.work) }
+
+// best chooses among endpoints that may all be taken.
+func (p *Placer) best(a Ask, list []candidate, mean float64) candidate {
+	if len(a.Links) == 0 {
+		return p.leastLoaded(a, list)
+	}
+	subject := crcontext.Subject(a.Links)
+	spread := spreadFactor*mean + spreadSlack
+	// Instances that place the same new subject at the same moment agree on
+	// the endpoint, since it follows from the subject.
+	return slices.MaxFunc(list, func(x, y candidate) int {
+		return cmp.Or(
+			compareBool(float64(x.work) <= spread, float64(y.work) <= spread),
+			cmp.Compare(x.held, y.held),
+			cmp.Compare(crhash.Mix(subject, uint64(x.Key)), crhash.Mix(subject, uint64(y.Key))),
+		)
+	})
+}
+
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// leastLoaded chooses for requests without context.
+func (p *Placer) leastLoaded(a Ask, list []candidate) candidate {
+	cost := func(c candidate) float64 {
+		n := float64(c.work) * relative(c.Slots)
+		if c.FailureDomain != p.FailureDomain {
+			n += foreignDomain
+		}
+		return n
+	}
+	return slices.MinFunc(list, func(x, y candidate) int {
+		return cmp.Or(
+			cmp.Compare(cost(x), cost(y)),
+			cmp.Compare(crhash.Mix(a.Random, uint64(x.Key)), crhash.Mix(a.Random, uint64(y.Key))),
+		)
+	})
+}
+
+// usualSlots is the capacity by which the work of plain endpoints is compared.
+const usualSlots = 6
+
+func relative(slots int) float64 {
+	if slots <= 0 {
+		return 1
+	}
+	return usualSlots / float64(slots)
+}
+
+// finish describes a choice and finds a source for the context that the
+// endpoint lacks, which may be an endpoint that takes no new work.
+func (p *Placer) finish(a Ask, held map[crledger.Key]int, c candidate, mean float64) Choice {
+	choice := Choice{Endpoint: c.Endpoint, Held: c.held, InFlight: c.work, Mean: mean}
+	if len(a.Links) == 0 {
+		return choice
+	}
+	choice.Wanted = a.Links[len(a.Links)-1].Tokens
+	most := c.held + fetchTokens
+	for _, e := range p.services[a.Service] {
+		if n := held[e.Key]; e.Key != c.Key && n >= most && !slices.Contains(a.Tried, e.Key) {
+			choice.Source, most = e, n+1
+		}
+	}
+	return choice
+}
+
+// Soonest returns the earliest time at which a cold endpoint of a service is
+// warm, for refusals; the zero time when none is cold.
+func (p *Placer) Soonest(now time.Time, service string) time.Time {
+	soonest := time.Time{}
+	for _, e := range p.services[service] {
+		if now.Before(e.ColdUntil) && (soonest.IsZero() || e.ColdUntil.Before(soonest)) {
+			soonest = e.ColdUntil
+		}
+	}
+	return soonest
+}
+
+// Load returns the work of a service and the slots of its endpoints in use.
+func (p *Placer) Load(service string) (work, slots int) {
+	for _, e := range p.services[service] {
+		work += p.Work.InFlight(e.Key)
+		if !e.Draining {
+			slots += e.Slots
+		}
+	}
+	return work, slots
+}
--- /dev/null
+++ b/core/crroster/roster.go
@@ -0,0 +1,227 @@
+// Package crroster keeps which instances are alive, from the reports that they
+// send each other, and decides which of them callers are told of and which
+// watch the store. It does no I/O and takes the time from its caller. A Roster
+// is not safe for concurrent use.
+package crroster
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"crocusrack/core/crhash"
+)
+
+// The times after which silence counts. Reports come five times a second, so
+// each is several lost datagrams in a row.
+const (
+	// SilentAfter is when a silent instance is taken for lost: callers aren't
+	// told of it, and another takes its duties.
+	SilentAfter = 900 * time.Millisecond
+	// forgetAfter is when a silent instance isn't sent reports any more.
+	forgetAfter = 30 * time.Second
+	// watchers is how many instances watch the store, in different failure
+	// domains if there are any: one may be lost without delay for the others.
+	watchers = 2
+	// maxAddresses is the most addresses in one answer to a caller.
+	maxAddresses = 64
+	// localAddresses is how many addresses in the caller's failure domain are
+	// enough to name no others.
+	localAddresses = 2
+)
+
+// Instance is one instance.
+type Instance struct {
+	Name          string
+	FailureDomain string
+	// Front is where callers connect, Peer where reports go.
+	Front, Peer netip.AddrPort
+}
+
+// Status is what an instance says of itself in a report.
+type Status struct {
+	Run      uint64
+	Sequence uint64
+	Ready    bool
+	Leaving  bool
+	// StoreLost is true when the instance can't reach the store.
+	StoreLost bool
+}
+
+type entry struct {
+	Instance
+	Status
+	heard time.Time
+	added time.Time
+}
+
+// Roster is the instances that this one knows. Set the exported fields before
+// first use.
+type Roster struct {
+	Self Instance
+	// Status is this instance's own; the owner of the roster keeps it current.
+	Status Status
+
+	peers map[string]*entry
+}
+
+// Add notes an instance that somebody named. It counts as alive only once it
+// reports by itself.
+func (r *Roster) Add(now time.Time, i Instance) (added bool) {
+	if i.Name == r.Self.Name || !i.Peer.IsValid() {
+		return false
+	}
+	if r.peers == nil {
+		r.peers = make(map[string]*entry)
+	}
+	if e := r.peers[i.Name]; e != nil {
+		if now.Sub(e.heard) > SilentAfter {
+			e.Instance = i
+		}
+		return false
+	}
+	r.peers[i.Name] = &entry{Instance: i, added: now}
+	return true
+}
+
+// Report notes a report. It returns false for one that is older than another
+// of the same run.
+func (r *Roster) Report(now time.Time, i Instance, s Status) bool {
+	r.Add(now, i)
+	e := r.peers[i.Name]
+	if e == nil {
+		return false
+	}
+	if e.Run == s.Run && s.Sequence <= e.Sequence {
+		return false
+	}
+	e.Instance, e.Status, e.heard = i, s, now
+	return true
+}
+
+func (e *entry) alive(now time.Time) bool {
+	return !e.heard.IsZero() && now.Sub(e.heard) < SilentAfter
+}
+
+// Targets returns the instances to send reports to, by name, and drops those
+// that have been silent for long.
+func (r *Roster) Targets(now time.Time) []Instance {
+	var list []Instance
+	for name, e := range r.peers {
+		last := e.added
+		if e.heard.After(last) {
+			last = e.heard
+		}
+		if now.Sub(last) > forgetAfter {
+			delete(r.peers, name)
+			continue
+		}
+		list = append(list, e.Instance)
+	}
+	slices.SortFunc(list, byName)
+	return list
+}
+
+// Alive returns the instances that reported lately, by name, without this one.
+func (r *Roster) Alive(now time.Time) []Instance {
+	var list []Instance
+	for _, e := range r.peers {
+		if e.alive(now) {
+			list = append(list, e.Instance)
+		}
+	}
+	slices.SortFunc(list, byName)
+	return list
+}
+
+// IsAlive reports whether an instance reported lately in the given run.
+func (r *Roster) IsAlive(now time.Time, name string, run uint64) bool {
+	e := r.peers[name]
+	return e != nil && e.Run == run && e.alive(now)
+}
+
+// Size returns the count of live instances, this one included.
+func (r *Roster) Size(now time.Time) int { return len(r.Alive(now)) + 1 }
+
+func byName(a, b Instance) int { return cmp.Compare(a.Name, b.Name) }
+
+// Fronts returns the addresses for a caller in a failure domain: the ready
+// instances there, or all ready ones where there are too few. The answer is
+// empty when no instance is ready.
+func (r *Roster) Fronts(now time.Time, domain string) []netip.AddrPort {
+	var local, all []netip.AddrPort
+	add := func(i Instance) {
+		all = append(all, i.Front)
+		if i.FailureDomain == domain {
+			local = append(local, i.Front)
+		}
+	}
+	if r.Status.Ready && !r.Status.Leaving {
+		add(r.Self)
+	}
+	for _, e := range r.peers {
+		if e.alive(now) && e.Ready && !e.Leaving {
+			add(e.Instance)
+		}
+	}
+	list := all
+	if len(local) >= localAddresses {
+		list = local
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return list[:min(len(list), maxAddresses)]
+}
+
+// Watches reports whether this instance is one of those that watch the store.
+// Instances that can't reach it come last.
+func (r *Roster) Watches(now time.Time) bool {
+	type candidate struct {
+		Instance
+		lost  bool
+		score uint64
+	}
+	list := []candidate{{r.Self, r.Status.StoreLost || r.Status.Leaving, watchScore(r.Self)}}
+	for _, e := range r.peers {
+		if e.alive(now) {
+			list = append(list, candidate{e.Instance, e.StoreLost || e.Leaving, watchScore(e.Instance)})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.lost != b.lost {
+			if a.lost {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
+	})
+	var chosen []candidate
+	for _, distinct := range []bool{true, false} {
+		for _, c := range list {
+			known := slices.ContainsFunc(chosen, func(o candidate) bool {
+				return o.Name == c.Name || distinct && o.FailureDomain == c.FailureDomain
+			})
+			if known || len(chosen) == watchers || distinct && c.lost {
+				continue
+			}
+			chosen = append(chosen, c)
+		}
+	}
+	return slices.ContainsFunc(chosen, func(c candidate) bool { return c.Name == r.Self.Name })
+}
+
+func watchScore(i Instance) uint64 { return crhash.Mix(crhash.Of(i.Name), crhash.Of("watch")) }
+
+// Chosen reports whether this instance is one of the count that a key selects
+// among the live ones.
+func (r *Roster) Chosen(now time.Time, key uint64, count int) bool {
+	own := crhash.Mix(key, crhash.Of(r.Self.Name))
+	ahead := 0
+	for name, e := range r.peers {
+		if e.alive(now) && crhash.Mix(key, crhash.Of(name)) < own {
+			ahead++
+		}
+	}
+	return ahead < count
+}
--- a/core/crsettings/check.go
+++ b/core/crsettings/check.go
@@ -23,9 +23,9 @@
 
 // keys checks each value by its row of the table. Values of the wrong type
 // have been named by the decoder.
-func (c *checker) keys(m protoreflect.Message) {
+func (c *checker) keys(m protoreflect.Message, table []Key) {
 	wrong := slices.Clone(c.problems)
-	for _, k := range Keys() {
+	for _, k := range table {
 		if hasProblem(wrong, k.Path) {
 			continue
 		}
@@ -83,6 +83,10 @@
 		if int64(v) < bound(k.Min) || int64(v) > bound(k.Max) {
 			c.problems.Addf(k.Path, "out of range %s to %s: %d", k.Min, k.Max, v)
 		}
+	case float64:
+		if v < float64(bound(k.Min)) || v > float64(bound(k.Max)) {
+			c.problems.Addf(k.Path, "out of range %s to %s: %g", k.Min, k.Max, v)
+		}
 	case *durationpb.Duration:
 		if d := v.AsDuration(); d < asDuration(k.Min) || d > asDuration(k.Max) {
 			c.problems.Addf(k.Path, "out of range %s to %s: %s", k.Min, k.Max, d)
--- a/core/crsettings/keys.go
+++ b/core/crsettings/keys.go
@@ -20,6 +20,7 @@
 	TypeFile      Type = "file"
 	TypeBool      Type = "boolean"
 	TypeInteger   Type = "integer"
+	TypeNumber    Type = "number"
 	TypeDuration  Type = "duration"
 	TypeAddress   Type = "IP address and port"
 	TypeAddresses Type = "list of IP addresses and ports"
@@ -116,10 +117,10 @@
 	}
 }
 
-// defaults returns the defaults of the table of keys.
-func defaults() crtoml.Table {
+// defaults returns the defaults of a table of keys.
+func defaults(keys []Key) crtoml.Table {
 	var b strings.Builder
-	for _, k := range Keys() {
+	for _, k := range keys {
 		if k.Default != "" {
 			fmt.Fprintf(&b, "%s = %s\n", k.Path, k.Default)
 		}
--- /dev/null
+++ b/core/crsettings/router.go
@@ -0,0 +1,113 @@
+package crsettings
+
+import (
+	"net/netip"
+	"time"
+
+	"crocusrack/core/crtoml"
+	pb "crocusrack/schema/crsettings"
+)
+
+// Router are the checked settings of a daemon that forwards HTTP requests.
+type Router struct {
+	// Instance is the name of this instance, unique in the fleet.
+	Instance      string
+	FailureDomain string
+	// Front serves callers' requests, Ready the question whether this instance
+	// takes any, Directory the question where to connect, and Peer the other
+	// instances. Metrics is invalid when metrics aren't served.
+	Front, Ready, Directory, Peer, Metrics netip.AddrPort
+	// Store is the platform's store.
+	Store netip.AddrPort
+	// Seeds are peer addresses of other instances, to start from.
+	Seeds []netip.AddrPort
+	// KeyRevocation is the time after which a key that was taken away must not
+	// work anywhere.
+	KeyRevocation   time.Duration
+	AddressLifetime time.Duration
+	// StopTimeout is the time between SIGTERM and SIGKILL.
+	StopTimeout time.Duration
+	// RetryShare, RetrySlack and RetryWindow bound the repeats of all instances.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	LogLevel    string
+}
+
+// RouterKeys returns every key of a router's settings, sorted by path.
+func RouterKeys() []Key { return routerKeys }
+
+var routerKeys = []Key{
+	{Path: "address-lifetime", Type: TypeDuration, Default: `"1s"`, Min: "100ms", Max: "1h",
+		Doc: "How long callers may keep an answer that says where to connect."},
+	{Path: "directory", Type: TypeAddress, Required: true,
+		Doc: "Address that answers callers who ask where to connect."},
+	{Path: "failure-domain", Type: TypeName, Required: true,
+		Doc: "Failure domain that this instance is in."},
+	{Path: "front", Type: TypeAddress, Required: true,
+		Doc: "Address that callers send their requests to."},
+	{Path: "instance", Type: TypeName, Required: true,
+		Doc: "Name of this instance, unique in the fleet."},
+	{Path: "key-revocation", Type: TypeDuration, Default: `"5s"`, Min: "1s", Max: "1h",
+		Doc: "Time after which a key that was taken away works at no instance, even one that is cut off."},
+	{Path: "log-level", Type: TypeText, Default: `"info"`, Values: []string{"debug", "info", "warn", "error"},
+		Doc: "Lowest level of log lines that are written."},
+	{Path: "metrics", Type: TypeAddress,
+		Doc: "Address that serves metrics at /debug/vars. None are served when it is not set."},
+	{Path: "peer", Type: TypeAddress, Required: true,
+		Doc: "Address for other instances, over UDP and TCP."},
+	{Path: "ready", Type: TypeAddress, Required: true,
+		Doc: "Address that answers whether this instance takes requests."},
+	{Path: "retry-share", Type: TypeNumber, Default: "0.2", Min: "0", Max: "1",
+		Doc: "Part of the requests for a service that all instances together may repeat."},
+	{Path: "retry-slack", Type: TypeNumber, Default: "10", Min: "0", Max: "1000000", Unit: "requests",
+		Doc: "How many more requests all instances together may repeat in each retry-window."},
+	{Path: "retry-window", Type: TypeDuration, Default: `"10s"`, Min: "1s", Max: "10m",
+		Doc: "Time in which repeats are counted."},
+	{Path: "seeds", Type: TypeAddresses,
+		Doc: "Peer addresses of other instances, to start from. The instance's own may be among them."},
+	{Path: "stop-timeout", Type: TypeDuration, Default: `"8s"`, Min: "1s", Max: "1h",
+		Doc: "Time between the signal to stop and the end of the process by force."},
+	{Path: "store", Type: TypeAddress, Required: true,
+		Doc: "Address of the platform's store."},
+}
+
+// ParseRouter decodes and checks the settings file of a router. Keys that the
+// file lacks get their default. An error is of type crtoml.Problems and holds
+// all problems found.
+func ParseRouter(data []byte) (Router, error) {
+	table, err := crtoml.ParseTable(data)
+	if err != nil {
+		return Router{}, err
+	}
+	m := &pb.RouterSettings{}
+	c := checker{}
+	if err := table.WithDefaults(defaults(RouterKeys())).Decode(m); err != nil {
+		c.problems = err.(crtoml.Problems)
+	}
+	c.keys(m.ProtoReflect(), RouterKeys())
+	if err := c.problems.Err(); err != nil {
+		return Router{}, err
+	}
+	s := Router{
+		Instance:        m.GetInstance(),
+		FailureDomain:   m.GetFailureDomain(),
+		Front:           address(m.GetFront()),
+		Ready:           address(m.GetReady()),
+		Directory:       address(m.GetDirectory()),
+		Peer:            address(m.GetPeer()),
+		Metrics:         address(m.GetMetrics()),
+		Store:           address(m.GetStore()),
+		KeyRevocation:   m.GetKeyRevocation().AsDuration(),
+		AddressLifetime: m.GetAddressLifetime().AsDuration(),
+		StopTimeout:     m.GetStopTimeout().AsDuration(),
+		RetryShare:      m.GetRetryShare(),
+		RetrySlack:      m.GetRetrySlack(),
+		RetryWindow:     m.GetRetryWindow().AsDuration(),
+		LogLevel:        m.GetLogLevel(),
+	}
+	for _, a := range m.GetSeeds() {
+		s.Seeds = append(s.Seeds, address(a))
+	}
+	return s, nil
+}
--- a/core/crsettings/settings.go
+++ b/core/crsettings/settings.go
@@ -80,10 +80,10 @@
 	}
 	message := &pb.Settings{}
 	c := checker{}
-	if err := table.WithDefaults(defaults()).Decode(message); err != nil {
+	if err := table.WithDefaults(defaults(Keys())).Decode(message); err != nil {
 		c.problems = err.(crtoml.Problems)
 	}
-	c.keys(message.ProtoReflect())
+	c.keys(message.ProtoReflect(), Keys())
 	s := c.settings(message)
 	c.relations(s)
 	if err := c.problems.Err(); err != nil {
--- /dev/null
+++ b/io/crforward/run.go
@@ -0,0 +1,299 @@
+package crforward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crledger"
+	"crocusrack/core/crroute"
+	"crocusrack/io/crhop"
+)
+
+const (
+	// wholeBody is the largest answer of a plain service that is read whole
+	// before any of it is passed on, so that a cut one can be repeated.
+	wholeBody = 256 << 10
+	// silenceTargets is after how many times its target a plain idempotent
+	// request is sent to another endpoint.
+	silenceTargets = 2.5
+	// minSilence is the least wait before that.
+	minSilence = 250 * time.Millisecond
+	// maxUnsent bounds the endpoints that a request is tried at without being
+	// sent.
+	maxUnsent = 3
+)
+
+// run sends the request until it has an answer or no more may be tried.
+func (x *exchange) run() {
+	ctx, cancel := x.context()
+	defer cancel()
+	x.State.Request(time.Now(), x.service.Name)
+	var tried []crledger.Key
+	unsent := 0
+	// failure is the last answer of an endpoint that was one of failure.
+	var failure *whole
+	for sent := 0; ; {
+		if sent > 0 && !x.mayRepeat(sent) {
+			break
+		}
+		grant := x.State.Grant(time.Now(), crgrant.Ask{Service: x.service, Links: x.links, Tried: tried})
+		if grant.Endpoint == nil {
+			if sent == 0 {
+				x.refuse(grant.Reason.String(), grant.RetryAfter)
+				return
+			}
+			break
+		}
+		if !grant.Valid(time.Now()) || !x.keyHolds() {
+			grant.Drop(time.Now())
+			x.refuse("changed-meanwhile", firstRetry)
+			return
+		}
+		x.trace.attempt(grant)
+		result := x.attempt(ctx, grant, x.request.LastEvent)
+		tried = append(tried, grant.Endpoint.Key)
+		switch result.verdict {
+		case done:
+			return
+		case notSent:
+			if unsent++; unsent < maxUnsent {
+				continue
+			}
+			if sent == 0 {
+				x.refuse("endpoints-unreachable", firstRetry)
+				return
+			}
+		case notRun:
+			sent++
+			x.trace.notRun++
+			continue
+		case failed:
+			sent++
+			x.trace.mayHaveRun = true
+			failure = result.answer
+			if x.route.Kind == crroute.Idempotent {
+				continue
+			}
+		case unknown:
+			sent++
+			x.trace.mayHaveRun = true
+			if x.route.Repeatable() {
+				continue
+			}
+		}
+		break
+	}
+	x.giveUp(ctx, failure)
+}
+
+// mayRepeat reports whether a request that was sent may be sent once more.
+func (x *exchange) mayRepeat(sent int) bool {
+	return sent < x.route.MaxAttempts && time.Until(x.deadline) > 0 && x.State.Retry(time.Now(), x.service.Name)
+}
+
+// giveUp answers a request that was sent and has no success.
+func (x *exchange) giveUp(ctx context.Context, failure *whole) {
+	switch {
+	case x.incoming.Context().Err() != nil:
+		x.trace.end(0, "caller-left", nil)
+	case failure != nil:
+		x.pass(failure)
+	case !x.trace.mayHaveRun:
+		x.refuse("endpoints-refused", firstRetry)
+	case ctx.Err() != nil:
+		x.fail(http.StatusGatewayTimeout, "timeout", nil)
+	default:
+		x.fail(http.StatusBadGateway, "answer-lost", x.trace.last)
+	}
+}
+
+// verdict is how an attempt ended.
+type verdict uint8
+
+const (
+	// done: the caller has its answer, or has left.
+	done verdict = iota
+	// notSent: no endpoint has got the request.
+	notSent
+	// notRun: the endpoint said that it has not run the request.
+	notRun
+	// failed: the endpoint answered with a failure.
+	failed
+	// unknown: the endpoint may have run the request.
+	unknown
+)
+
+type result struct {
+	verdict verdict
+	answer  *whole
+}
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt sends the request to one endpoint.
+func (x *exchange) attempt(ctx context.Context, g *crgrant.Grant, lastEvent string) result {
+	limited, cancel := x.limit(ctx)
+	defer cancel()
+	answer, err := x.sendWatched(limited, g, lastEvent)
+	if err != nil {
+		return x.unanswered(ctx, g, err)
+	}
+	defer answer.Close()
+	if x.Codec.NotRun(answer.Status, answer.Header) {
+		// Reading the answer to its end keeps the connection.
+		if _, err := x.readWhole(answer); err != nil {
+			x.trace.last = err
+		}
+		x.end(g, crhealth.Failed)
+		return result{verdict: notRun}
+	}
+	if answer.Status < 300 && x.route.Kind == crroute.Stream {
+		return x.stream(ctx, g, answer)
+	}
+	return x.plain(ctx, g, answer)
+}
+
+// limit bounds the wait for the answer of a request that another endpoint can
+// still answer in time.
+func (x *exchange) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	if x.route.Kind != crroute.Idempotent || x.trace.attempts > 1 || x.route.MaxAttempts < 2 {
+		return context.WithCancel(ctx)
+	}
+	silence := time.Duration(silenceTargets * float64(x.route.Target))
+	return context.WithTimeout(ctx, max(silence, minSilence))
+}
+
+func (x *exchange) send(ctx context.Context, g *crgrant.Grant, lastEvent string) (*crhop.Answer, error) {
+	header := x.request.Header.Clone()
+	attempt := Attempt{
+		Endpoint:  g.Endpoint.ID,
+		Left:      time.Until(x.deadline),
+		LastEvent: lastEvent,
+		Priority:  x.priority,
+		Engine:    x.service.Engine,
+	}
+	if x.account != nil {
+		attempt.Account = x.account.Name
+	}
+	if g.Source != nil {
+		attempt.Source = g.Source.Address
+	}
+	x.Codec.Encode(header, attempt)
+	return x.Hop.Send(ctx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, &crhop.Request{
+		Method: x.incoming.Method,
+		Target: x.incoming.RequestURI,
+		Host:   x.incoming.Host,
+		Header: header,
+		Body:   x.body,
+		Once:   !x.route.Repeatable(),
+		Echoed: func(status int, h http.Header) bool { return x.Codec.Echoed(status, h, x.request.ID) },
+	})
+}
+
+// end ends a grant and logs when its endpoint was put out of use.
+func (x *exchange) end(g *crgrant.Grant, o crhealth.Outcome) {
+	if g.End(time.Now(), o) {
+		x.logEjected(g, o)
+	}
+}
+
+// unanswered classifies a request that got no answer.
+func (x *exchange) unanswered(ctx context.Context, g *crgrant.Grant, err error) result {
+	x.trace.last = err
+	if x.incoming.Context().Err() != nil {
+		g.Drop(time.Now())
+		x.trace.end(0, "caller-left", nil)
+		return result{verdict: done}
+	}
+	var failure *crhop.Error
+	if !errors.As(err, &failure) {
+		failure = &crhop.Error{Sent: true, Cause: err}
+	}
+	switch {
+	case failure.Unreachable:
+		x.end(g, crhealth.Unreachable)
+	case ctx.Err() != nil && !failure.Sent:
+		g.Drop(time.Now())
+	default:
+		x.end(g, crhealth.Broken)
+	}
+	if failure.Sent {
+		return result{verdict: unknown}
+	}
+	return result{verdict: notSent}
+}
+
+// plain handles an answer that isn't a stream of events.
+func (x *exchange) plain(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
+	if answer.Length > wholeBody {
+		return x.copyThrough(ctx, g, answer)
+	}
+	body, err := x.readWhole(answer)
+	if err != nil {
+		return x.unanswered(ctx, g, &crhop.Error{Sent: true, Cause: err})
+	}
+	w := &whole{answer.Status, answer.Header, body}
+	if answer.Status >= 500 {
+		x.end(g, crhealth.Failed)
+		return result{verdict: failed, answer: w}
+	}
+	x.end(g, crhealth.Good)
+	x.pass(w)
+	return result{verdict: done}
+}
+
+// errTooLong ends an answer without a length that doesn't fit in memory.
+var errTooLong = errors.New("the answer is longer than may be kept")
+
+// maxWhole bounds an answer whose length isn't known ahead.
+const maxWhole = 8 << 20
+
+func (x *exchange) readWhole(answer *crhop.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWhole+1))
+	if err == nil && len(body) > maxWhole {
+		err = errTooLong
+	}
+	return body, err
+}
+
+// pass gives the caller an endpoint's answer.
+func (x *exchange) pass(w *whole) {
+	x.trace.end(w.status, "answered", nil)
+	copyHeader(x.writer.Header(), w.header)
+	if w.header.Get("Content-Length") == "" && bodyAllowed(x.incoming.Method, w.status) {
+		x.writer.Header().Set("Content-Length", lengthOf(w.body))
+	}
+	x.writer.WriteHeader(w.status)
+	_, err := x.writer.Write(w.body)
+	x.trace.wrote(err)
+}
+
+// copyThrough passes a long answer on as it comes.
+func (x *exchange) copyThrough(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
+	copyHeader(x.writer.Header(), answer.Header)
+	x.writer.WriteHeader(answer.Status)
+	_, err := io.Copy(x.writer, answer.Body)
+	if err != nil {
+		x.unanswered(ctx, g, err)
+		x.abort("answer-cut", err)
+	}
+	x.end(g, crhealth.Good)
+	x.trace.end(answer.Status, "answered", nil)
+	return result{verdict: done}
+}
+
+// abort ends an answer that has begun in a way that can't look complete.
+func (x *exchange) abort(reason string, err error) {
+	x.trace.end(x.trace.status, reason, err)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/io/crforward/stall.go
@@ -0,0 +1,79 @@
+package crforward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/io/crhop"
+)
+
+var errStalled = errors.New("the stream stalled")
+
+// sendWatched sends a request and gives up the wait for its answer as for the
+// next event of a stream.
+func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string) (*crhop.Answer, error) {
+	watch := x.watcher(g)
+	ctx, cancel := context.WithCancelCause(ctx)
+	var answered atomic.Bool
+	done := make(chan struct{})
+	go func() {
+		timer := time.NewTimer(firstGap)
+		defer timer.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-timer.C:
+			}
+			next, err := watch.look(ctx)
+			if err != nil && !answered.Load() {
+				cancel(err)
+				return
+			}
+			timer.Reset(max(next, stallGap))
+		}
+	}()
+	answer, err := x.send(ctx, g, lastEvent)
+	answered.Store(true)
+	close(done)
+	if err != nil {
+		cancel(nil)
+	}
+	return answer, err
+}
+
+func (x *exchange) watcher(g *crgrant.Grant) *watcher {
+	return &watcher{exchange: x, endpoint: crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}}
+}
+
+// watcher looks at the endpoint of a silent request.
+type watcher struct {
+	*exchange
+	endpoint crhop.Endpoint
+	silence  time.Duration
+	probed   bool
+}
+
+// heard notes that the stream goes on.
+func (w *watcher) heard() { w.silence, w.probed = 0, false }
+
+// look is called after each gap of silence. It returns the wait until the next
+// look, or why the stream is given up: its endpoint takes no connections, or it
+// was silent for too long where another endpoint can go on.
+func (w *watcher) look(ctx context.Context) (time.Duration, error) {
+	w.silence += stallGap
+	if !w.probed {
+		w.probed = true
+		if err := w.Hop.Probe(ctx, w.endpoint); err != nil && ctx.Err() == nil {
+			return 0, fmt.Errorf("%w, and its endpoint takes no connections: %w", errStalled, err)
+		}
+	}
+	if w.silence >= maxStall && w.route.Resumable {
+		return 0, errStalled
+	}
+	return stallGap, nil
+}
--- /dev/null
+++ b/io/crforward/stream.go
@@ -0,0 +1,206 @@
+package crforward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crledger"
+	"crocusrack/core/crstream"
+	"crocusrack/io/crhop"
+)
+
+const (
+	// streamBuffer is the most that is read of a stream at once, in bytes.
+	streamBuffer = 16 << 10
+	// stallGap is the silence of a stream after which its endpoint is looked
+	// at. It is below the pauses that callers accept.
+	stallGap = 500 * time.Millisecond
+	// firstGap is the same before the first event, when the endpoint reads the
+	// prompt.
+	firstGap = 900 * time.Millisecond
+	// maxStall is the silence after which a stream is resumed elsewhere though
+	// its endpoint takes connections.
+	maxStall = 2500 * time.Millisecond
+)
+
+// stream passes events on as they come. A stream that breaks goes on at another
+// endpoint, inside the same answer, where its route lets it.
+func (x *exchange) stream(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
+	s := &streamer{exchange: x}
+	if x.request.LastEvent != "" {
+		if id, err := strconv.ParseUint(x.request.LastEvent, 10, 64); err == nil {
+			s.splitter.SetLast(id)
+		}
+	}
+	tried := []crledger.Key{g.Endpoint.Key}
+	for {
+		err := s.copy(ctx, g, answer)
+		answer.Close()
+		if err == nil {
+			x.end(g, crhealth.Good)
+			x.trace.end(answer.Status, "answered", nil)
+			return result{verdict: done}
+		}
+		if s.writeErr != nil || x.incoming.Context().Err() != nil {
+			g.Drop(time.Now())
+			x.abort("caller-left", s.writeErr)
+		}
+		x.trace.last = err
+		if ctx.Err() != nil {
+			g.Drop(time.Now())
+		} else {
+			x.end(g, crhealth.Broken)
+		}
+		s.splitter.Rest()
+		if !s.started {
+			return result{verdict: unknown}
+		}
+		if g, answer = x.resume(ctx, s, &tried); answer == nil {
+			x.abort("stream-cut", err)
+		}
+	}
+}
+
+// resume sends the request of a broken stream to another endpoint.
+func (x *exchange) resume(ctx context.Context, s *streamer, tried *[]crledger.Key) (*crgrant.Grant, *crhop.Answer) {
+	if !x.route.Resumable {
+		return nil, nil
+	}
+	for x.mayRepeat(x.trace.attempts) {
+		g := x.State.Grant(time.Now(), crgrant.Ask{Service: x.service, Links: x.links, Tried: *tried})
+		if g.Endpoint == nil {
+			return nil, nil
+		}
+		*tried = append(*tried, g.Endpoint.Key)
+		if !g.Valid(time.Now()) || !x.keyHolds() {
+			g.Drop(time.Now())
+			return nil, nil
+		}
+		x.trace.attempt(g)
+		last := ""
+		if id, ok := s.splitter.Last(); ok {
+			last = strconv.FormatUint(id, 10)
+		}
+		answer, err := x.sendWatched(ctx, g, last)
+		if err != nil {
+			x.unanswered(ctx, g, err)
+			continue
+		}
+		if answer.Status >= 300 || x.Codec.NotRun(answer.Status, answer.Header) {
+			answer.Close()
+			x.end(g, crhealth.Failed)
+			continue
+		}
+		x.logResumed(g, last)
+		return g, answer
+	}
+	return nil, nil
+}
+
+// streamer copies the events of one caller's stream, from one endpoint after
+// another.
+type streamer struct {
+	*exchange
+	splitter crstream.Splitter
+	// started is true once the caller has the header.
+	started  bool
+	writeErr error
+}
+
+type piece struct {
+	data []byte
+	err  error
+}
+
+// copy passes events on until the answer ends. The error says why the endpoint's
+// answer broke off; writeErr is set when the caller's did.
+func (s *streamer) copy(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) error {
+	pieces := make(chan piece)
+	ended := make(chan struct{})
+	defer close(ended)
+	go read(answer.Body, pieces, ended)
+	watch := s.watcher(g)
+	timer := time.NewTimer(firstGap)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-timer.C:
+			next, err := watch.look(ctx)
+			if err != nil {
+				return err
+			}
+			timer.Reset(next)
+		case p := <-pieces:
+			watch.heard()
+			timer.Reset(stallGap)
+			if err := s.take(answer, p); err != nil || p.err != nil {
+				if p.err == io.EOF && err == nil {
+					return s.close(answer)
+				}
+				if err == nil {
+					err = p.err
+				}
+				return err
+			}
+		}
+	}
+}
+
+// read reads the body until it ends or ended is closed.
+func read(body io.Reader, pieces chan<- piece, ended <-chan struct{}) {
+	for {
+		buffer := make([]byte, streamBuffer)
+		n, err := body.Read(buffer)
+		select {
+		case pieces <- piece{buffer[:n], err}:
+		case <-ended:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// take passes the whole events of a piece on.
+func (s *streamer) take(answer *crhop.Answer, p piece) error {
+	events := s.splitter.Write(p.data)
+	if len(events) == 0 {
+		return nil
+	}
+	return s.write(answer, events)
+}
+
+// close passes on what an endpoint that ended properly sent last.
+func (s *streamer) close(answer *crhop.Answer) error {
+	return s.write(answer, s.splitter.Rest())
+}
+
+func (s *streamer) write(answer *crhop.Answer, b []byte) error {
+	control := http.NewResponseController(s.writer)
+	// A connection without deadlines is one of a test.
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if !s.started {
+		s.started = true
+		copyHeader(s.writer.Header(), answer.Header)
+		s.writer.Header().Del("Content-Length")
+		s.writer.WriteHeader(answer.Status)
+		s.trace.first(answer.Status)
+	}
+	if _, err := s.writer.Write(b); err != nil {
+		s.writeErr = err
+		return err
+	}
+	if err := control.Flush(); err != nil {
+		s.writeErr = err
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/io/crlink/link.go
@@ -0,0 +1,240 @@
+// Package crlink carries reports between instances in datagrams, and fetches
+// what is newer at another instance.
+//
+// Datagrams may be lost, come twice or late: each report replaces the one before
+// it. A failure here is logged and never ends the process or a request.
+package crlink
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crroster"
+	pb "crocusrack/schema/crrouter"
+)
+
+const (
+	// interval is the pause between reports in a small fleet.
+	interval = 200 * time.Millisecond
+	// smallFleet is the count of instances beyond which the pause grows with
+	// the fleet, so that the bytes of one instance don't.
+	smallFleet = 16
+	// seedInterval is the pause between reports to the seeds while no instance
+	// is known.
+	seedInterval = 500 * time.Millisecond
+	// maxDatagram is the largest datagram that is read, in bytes.
+	maxDatagram = 16 << 10
+	// fetchTimeout bounds a fetch from a peer.
+	fetchTimeout = time.Second
+	// maxSnapshot bounds what is read of a snapshot, in bytes.
+	maxSnapshot = 16 << 20
+	// snapshotPath is where an instance serves its snapshot.
+	snapshotPath = "/snapshot"
+)
+
+// Link exchanges reports. Set the exported fields before Run.
+type Link struct {
+	State *crgrant.State
+	// Packets is the socket of the reports. Run closes it.
+	Packets net.PacketConn
+	// HTTP fetches snapshots.
+	HTTP *http.Client
+	Log  *zap.Logger
+	// Adopted is called after a snapshot was adopted.
+	Adopted func(from string)
+
+	seeds    atomic.Pointer[[]netip.AddrPort]
+	now      chan struct{}
+	once     sync.Once
+	fetching atomic.Bool
+	sent     atomic.Int64
+	received atomic.Int64
+}
+
+func (l *Link) init() {
+	l.once.Do(func() { l.now = make(chan struct{}, 1) })
+}
+
+// SetSeeds sets the instances to start from.
+func (l *Link) SetSeeds(seeds []netip.AddrPort) { l.seeds.Store(&seeds) }
+
+// Tell sends reports at once: others wait for what has changed.
+func (l *Link) Tell() {
+	l.init()
+	select {
+	case l.now <- struct{}{}:
+	default:
+	}
+}
+
+// Bytes returns the bytes of reports sent and received.
+func (l *Link) Bytes() (sent, received int64) { return l.sent.Load(), l.received.Load() }
+
+// Run exchanges reports until the context ends.
+func (l *Link) Run(ctx context.Context) {
+	l.init()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { l.receive(ctx, &tasks) })
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	lastSeeds := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			l.Packets.Close()
+			tasks.Wait()
+			return
+		case <-timer.C:
+		case <-l.now:
+		}
+		now := time.Now()
+		targets := l.State.Targets(now)
+		for _, i := range targets {
+			l.send(i.Peer, l.State.Compose(now, i.Name))
+		}
+		if len(l.State.Alive(now)) == 0 && now.Sub(lastSeeds) > seedInterval {
+			lastSeeds = now
+			for _, a := range *l.seeds.Load() {
+				l.send(a, l.State.Compose(now, ""))
+			}
+		}
+		timer.Reset(interval * time.Duration(max(1, len(targets)/smallFleet)))
+	}
+}
+
+func (l *Link) send(to netip.AddrPort, m *pb.Report) {
+	if to == l.State.Self.Peer {
+		return
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		l.Log.Error("link: a report can't be encoded", zap.Error(err))
+		return
+	}
+	n, err := l.Packets.WriteTo(data, net.UDPAddrFromAddrPort(to))
+	if err != nil {
+		l.Log.Debug("link: a report can't be sent", zap.Stringer("to", to), zap.Error(err))
+		return
+	}
+	l.sent.Add(int64(n))
+}
+
+func (l *Link) receive(ctx context.Context, tasks *sync.WaitGroup) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, _, err := l.Packets.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			l.Log.Warn("link: reports can't be read", zap.Error(err))
+			continue
+		}
+		l.received.Add(int64(n))
+		l.take(ctx, tasks, buffer[:n])
+	}
+}
+
+func (l *Link) take(ctx context.Context, tasks *sync.WaitGroup, data []byte) {
+	m := &pb.Report{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		l.Log.Warn("link: a datagram is no report", zap.Error(err))
+		return
+	}
+	now := time.Now()
+	heard, err := l.State.Receive(now, m)
+	if err != nil {
+		l.Log.Warn("link: a report can't be used", zap.Error(err))
+		return
+	}
+	if heard.New {
+		l.Log.Info("link: an instance reports", zap.String("instance", heard.From.Name), zap.Uint64("run", m.GetRun()))
+		reply := l.State.Compose(now, heard.From.Name)
+		l.State.Introduce(now, reply)
+		l.send(heard.From.Peer, reply)
+	}
+	if heard.Behind && l.fetching.CompareAndSwap(false, true) {
+		tasks.Go(func() {
+			defer l.fetching.Store(false)
+			l.fetch(ctx, heard.From)
+		})
+	}
+}
+
+// fetch adopts what is newer at a peer.
+func (l *Link) fetch(ctx context.Context, from crroster.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	m, err := l.get(ctx, from)
+	if err == nil {
+		err = l.State.Adopt(time.Now(), m)
+	}
+	if err != nil {
+		l.Log.Warn("link: a peer's snapshot can't be had", zap.String("instance", from.Name), zap.Error(err))
+		return
+	}
+	routing, endpoints, outs := l.State.Have()
+	l.Log.Info("link: adopted a peer's snapshot", zap.String("instance", from.Name),
+		zap.Uint64("routing-version", routing), zap.Uint64("endpoints-revision", endpoints), zap.Uint64("outs-revision", outs))
+	l.Adopted(from.Name)
+}
+
+func (l *Link) get(ctx context.Context, from crroster.Instance) (*pb.Snapshot, error) {
+	routing, endpoints, outs := l.State.Have()
+	url := fmt.Sprintf("http://%s%s?routing=%d&endpoints=%d&outs=%d", from.Peer, snapshotPath, routing, endpoints, outs)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := l.HTTP.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %s", response.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshot))
+	if err != nil {
+		return nil, err
+	}
+	m := &pb.Snapshot{}
+	return m, proto.Unmarshal(data, m)
+}
+
+// Register adds the snapshot to a server for peers.
+func (l *Link) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, r *http.Request) {
+		var have [3]uint64
+		for i, name := range []string{"routing", "endpoints", "outs"} {
+			n, err := strconv.ParseUint(r.FormValue(name), 10, 64)
+			if err != nil {
+				http.Error(w, fmt.Sprintf("%s is not a number: %q", name, r.FormValue(name)), http.StatusBadRequest)
+				return
+			}
+			have[i] = n
+		}
+		data, err := proto.Marshal(l.State.Snapshot(time.Now(), have[0], have[1], have[2]))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		w.Header().Set("Content-Type", "application/protobuf")
+		if _, err := w.Write(data); err != nil {
+			l.Log.Debug("link: a snapshot wasn't taken", zap.Error(err))
+		}
+	})
+}
--- /dev/null
+++ b/io/crrouter/router.go
@@ -0,0 +1,297 @@
+// Package crrouter joins the parts of a daemon that forwards HTTP requests: the
+// listeners, the reports to other instances, the watch of the store, and the
+// orderly stop.
+//
+// Run fails when a listener can't be opened. All that fails later is logged or
+// becomes the outcome of a request, and the daemon goes on.
+package crrouter
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusrack/core/crbackoff"
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crledger"
+	"crocusrack/core/crroster"
+	"crocusrack/core/crsettings"
+	"crocusrack/io/crforward"
+	"crocusrack/io/crhop"
+	"crocusrack/io/crlink"
+	"crocusrack/io/crwatch"
+)
+
+const (
+	// keyAgeShare is the part of the time for the revocation of keys in which
+	// knowledge of them may grow old: the rest is for the way of a request.
+	keyAgeShare = 0.82
+	// readHeaderTimeout bounds the wait for a request's header.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout is when an idle connection of a caller is closed. Callers
+	// give theirs up earlier.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
+	// prunePause is how often idle connections to endpoints are looked at.
+	prunePause = time.Second
+	// peerDialTimeout bounds the dial of a peer or the store.
+	peerDialTimeout = 500 * time.Millisecond
+	// closingShare is the part of the stop timeout after which answers say that
+	// their connection closes: by then callers have heard of other addresses.
+	closingShare = 0.3
+	// stopMargin is how long before the end by force the process stops itself.
+	stopMargin = 300 * time.Millisecond
+)
+
+// Router is one daemon. Set the exported fields before Run.
+type Router struct {
+	Settings crsettings.Router
+	Log      *zap.Logger
+	// RunNumber is random and tells this run of the process from others.
+	RunNumber uint64
+	// Elapsed reads a clock that counts suspension.
+	Elapsed func() time.Duration
+	// Codec translates headers.
+	Codec crforward.Codec
+	// Watcher has its feeds set; the router sets the rest.
+	Watcher *crwatch.Watcher
+	// Ready and Directory make the handlers of those listeners.
+	Ready     func(ready func() bool) http.Handler
+	Directory func(fronts func(domain string) []netip.AddrPort, lifetime time.Duration) http.Handler
+	Metrics   crforward.Metrics
+
+	state     *crgrant.State
+	forwarder *crforward.Forwarder
+	hop       *crhop.Client
+	link      *crlink.Link
+	peers     *http.Client
+	closing   atomic.Bool
+	leaving   atomic.Bool
+	stop      chan struct{}
+	stopOnce  sync.Once
+	initOnce  sync.Once
+}
+
+// Stop ends Run in order: callers are sent elsewhere, and requests end.
+func (r *Router) Stop() {
+	r.init()
+	r.stopOnce.Do(func() { close(r.stop) })
+}
+
+func (r *Router) init() { r.initOnce.Do(func() { r.stop = make(chan struct{}) }) }
+
+// Run serves until Stop has been carried out or the context ends.
+func (r *Router) Run(ctx context.Context) error {
+	r.init()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err := r.build(); err != nil {
+		return err
+	}
+	defer r.peers.CloseIdleConnections()
+	var tasks sync.WaitGroup
+	servers, err := r.serve(&tasks)
+	if err != nil {
+		return err
+	}
+	r.Log.Info("daemon: started", zap.String("instance", r.Settings.Instance),
+		zap.String("failure-domain", r.Settings.FailureDomain), zap.Uint64("run", r.RunNumber))
+	tasks.Go(func() { r.link.Run(ctx) })
+	tasks.Go(func() { r.Watcher.Run(ctx) })
+	tasks.Go(func() { r.housekeep(ctx) })
+	select {
+	case <-ctx.Done():
+	case <-r.stop:
+		r.leave(ctx)
+	}
+	cancel()
+	for _, s := range servers {
+		s.Close()
+	}
+	tasks.Wait()
+	r.hop.CloseIdle()
+	r.Log.Info("daemon: stopped", zap.String("instance", r.Settings.Instance))
+	return nil
+}
+
+func (r *Router) build() error {
+	s := r.Settings
+	r.state = &crgrant.State{
+		Self: crroster.Instance{
+			Name: s.Instance, FailureDomain: s.FailureDomain, Front: s.Front, Peer: s.Peer,
+		},
+		Run:     r.RunNumber,
+		Retries: crgrant.RetryLimit{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Elapsed: r.Elapsed,
+	}
+	r.hop = &crhop.Client{Opened: func() { r.Metrics.Connections.Add(1) }}
+	r.forwarder = &crforward.Forwarder{
+		State:     r.state,
+		Hop:       r.hop,
+		Codec:     r.Codec,
+		Log:       r.Log,
+		Metrics:   &r.Metrics,
+		MaxKeyAge: time.Duration(keyAgeShare * float64(s.KeyRevocation)),
+		Closing:   r.closing.Load,
+	}
+	packets, err := net.ListenPacket("udp4", s.Peer.String())
+	if err != nil {
+		return fmt.Errorf("peer datagrams: %w", err)
+	}
+	r.peers = Client()
+	r.link = &crlink.Link{
+		State:   r.state,
+		Packets: packets,
+		HTTP:    r.peers,
+		Log:     r.Log,
+		Adopted: func(string) { r.changed() },
+	}
+	r.link.SetSeeds(s.Seeds)
+	r.Watcher.State = r.state
+	r.Watcher.Log = r.Log
+	r.Watcher.Changed = r.changed
+	return nil
+}
+
+// Reload takes over what may change while the daemon runs: the seeds.
+func (r *Router) Reload(s crsettings.Router) {
+	r.link.SetSeeds(s.Seeds)
+	r.Log.Info("daemon: settings reloaded; seeds are in force, other changes at the next start",
+		zap.Stringers("seeds", s.Seeds))
+}
+
+// Client returns an HTTP/1.1 client for peers and the store. It notices within
+// a second or two that a connection is dead.
+func Client() *http.Client {
+	dialer := net.Dialer{
+		Timeout:         peerDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     20 * time.Second,
+		DisableCompression:  true,
+	}}
+}
+
+// changed is called after something came into force. The first routing makes
+// this instance ready.
+func (r *Router) changed() {
+	ready := r.ready()
+	r.state.SetSelf(func(s *crroster.Status) { s.Ready = ready })
+	r.link.Tell()
+}
+
+// ready reports whether this instance takes requests from new callers.
+func (r *Router) ready() bool {
+	if r.leaving.Load() || r.state.Table() == nil {
+		return false
+	}
+	_, endpoints, _ := r.state.Have()
+	return endpoints > 0
+}
+
+func (r *Router) serve(tasks *sync.WaitGroup) ([]*http.Server, error) {
+	s := r.Settings
+	fronts := func(domain string) []netip.AddrPort { return r.state.Fronts(time.Now(), domain) }
+	peer, metrics := http.NewServeMux(), http.NewServeMux()
+	r.link.Register(peer)
+	r.registerDump(peer)
+	vars := r.Metrics.Map()
+	vars.Set("control-bytes", expvar.Func(func() any {
+		sent, received := r.link.Bytes()
+		return map[string]int64{"sent": sent, "received": received}
+	}))
+	metrics.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintln(w, vars)
+	})
+	var servers []*http.Server
+	for _, l := range []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{"front", s.Front, r.forwarder},
+		{"ready", s.Ready, r.Ready(r.ready)},
+		{"directory", s.Directory, r.Directory(fronts, s.AddressLifetime)},
+		{"peer", s.Peer, peer},
+		{"metrics", s.Metrics, metrics},
+	} {
+		if !l.address.IsValid() {
+			continue
+		}
+		listener, err := net.Listen("tcp4", l.address.String())
+		if err != nil {
+			for _, s := range servers {
+				s.Close()
+			}
+			return nil, fmt.Errorf("%s listener: %w", l.name, err)
+		}
+		server := &http.Server{
+			Handler:           l.handler,
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ErrorLog:          zap.NewStdLog(r.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+		}
+		servers = append(servers, server)
+		tasks.Go(func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				r.Log.Error("daemon: a listener failed", zap.String("listener", l.name), zap.Error(err))
+			}
+		})
+	}
+	return servers, nil
+}
+
+// housekeep closes idle connections that are past their time.
+func (r *Router) housekeep(ctx context.Context) {
+	for crbackoff.Sleep(ctx, prunePause) == nil {
+		r.hop.Prune(time.Now(), func(k crledger.Key) bool { return r.state.HasEndpoint(k) })
+	}
+}
+
+// leave sends callers elsewhere and waits for the requests. Kept connections
+// are served until their callers have had the time to hear of other addresses,
+// and are asked to close then.
+func (r *Router) leave(ctx context.Context) {
+	r.leaving.Store(true)
+	r.state.SetSelf(func(s *crroster.Status) { s.Ready, s.Leaving = false, true })
+	r.link.Tell()
+	r.Log.Info("daemon: leaving", zap.Int64("requests-in-flight", r.Metrics.InFlight.Value()))
+	limit := r.Settings.StopTimeout
+	start := time.Now()
+	_ = crbackoff.Sleep(ctx, time.Duration(closingShare*float64(limit)))
+	r.closing.Store(true)
+	quiet := time.Time{}
+	for time.Since(start) < limit-stopMargin && ctx.Err() == nil {
+		_ = crbackoff.Sleep(ctx, 50*time.Millisecond)
+		if r.Metrics.InFlight.Value() > 0 {
+			quiet = time.Time{}
+			continue
+		}
+		if quiet.IsZero() {
+			quiet = time.Now()
+		}
+		if time.Since(quiet) > quietBeforeStop {
+			break
+		}
+	}
+	r.Log.Info("daemon: left", zap.Int64("requests-in-flight", r.Metrics.InFlight.Value()), zap.Duration("after-ms", time.Since(start)))
+}
+
+// quietBeforeStop is how long no request may have come before the process ends:
+// callers that keep an old answer may still send some.
+const quietBeforeStop = 1200 * time.Millisecond
--- /dev/null
+++ b/io/crwatch/kinds.go
@@ -0,0 +1,181 @@
+package crwatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
+	pb "crocusrack/schema/crrouter"
+)
+
+// routingKind puts new versions of the routing in force.
+type routingKind struct{ w *Watcher }
+
+func (k *routingKind) feed() Feed[pb.Routing] { return k.w.Routing }
+func (k *routingKind) wait() time.Duration    { return routingWait }
+func (k *routingKind) pause() time.Duration   { return 0 }
+func (k *routingKind) reset()                 {}
+
+func (k *routingKind) take(changes []Change[pb.Routing], at uint64) {
+	for _, c := range changes {
+		if c.Value == nil || c.Removed {
+			k.w.Log.Warn("watch: the routing can't be read; the earlier version stays in force", zap.String("name", c.Name))
+			continue
+		}
+		if k.w.State.SetRouting(c.Value) {
+			k.w.Log.Info("watch: a version of the routing is in force", zap.Uint64("routing-version", c.Value.GetVersion()),
+				zap.Uint64("revision", at), zap.Int("routes", len(c.Value.GetRoutes())))
+			k.w.Changed()
+		}
+	}
+}
+
+func (k *routingKind) read(start time.Duration) {
+	if k.w.State.Table() != nil {
+		k.w.State.Evidence.Read(start)
+	}
+}
+
+// endpointsKind keeps the endpoints by id.
+type endpointsKind struct {
+	w     *Watcher
+	known map[string]*pb.Endpoint
+	// missing are endpoints whose entries went away around an outage of the
+	// store, by when that was noticed.
+	missing map[string]time.Time
+	// coldUntil is when each endpoint is warm; an entry says only how long
+	// that was when it was written.
+	coldUntil map[string]time.Time
+	applied   map[string]*pb.Endpoint
+}
+
+func (k *endpointsKind) feed() Feed[pb.Endpoint] { return k.w.Endpoints }
+func (k *endpointsKind) wait() time.Duration     { return endpointsWait }
+func (k *endpointsKind) pause() time.Duration    { return endpointsPause }
+func (k *endpointsKind) read(time.Duration)      {}
+
+// reset notes all endpoints as missing; those that are listed are not.
+func (k *endpointsKind) reset() {
+	k.applied = nil
+	for name := range k.known {
+		k.miss(name)
+	}
+}
+
+func (k *endpointsKind) miss(name string) {
+	if k.missing == nil {
+		k.missing = make(map[string]time.Time)
+	}
+	if _, noted := k.missing[name]; !noted {
+		k.missing[name] = time.Now()
+	}
+}
+
+func (k *endpointsKind) take(changes []Change[pb.Endpoint], at uint64) {
+	now := time.Now()
+	if k.coldUntil == nil {
+		k.coldUntil = make(map[string]time.Time)
+	}
+	for _, c := range changes {
+		switch {
+		case c.Removed:
+			k.miss(c.Name)
+		case c.Value == nil:
+			delete(k.known, c.Name)
+			delete(k.missing, c.Name)
+		default:
+			k.known[c.Name] = c.Value
+			delete(k.missing, c.Name)
+			k.coldUntil[c.Name] = now.Add(c.Value.GetColdLeft().AsDuration())
+		}
+	}
+	// What went missing while the store was away is believed only when live
+	// endpoints have had the time to return.
+	settling := k.w.outage.settling(now)
+	for name := range k.missing {
+		if !settling {
+			delete(k.known, name)
+			delete(k.missing, name)
+			delete(k.coldUntil, name)
+		}
+	}
+	k.apply(now, at)
+}
+
+// apply puts the endpoints in force if any of them changed.
+func (k *endpointsKind) apply(now time.Time, at uint64) {
+	if k.applied != nil && maps.EqualFunc(k.applied, k.known, sameEndpoint) {
+		return
+	}
+	k.applied = maps.Clone(k.known)
+	var list []*crplace.Endpoint
+	for _, name := range slices.Sorted(maps.Keys(k.known)) {
+		e, err := crgrant.NewEndpoint(now, k.known[name])
+		if err != nil {
+			k.w.Log.Warn("watch: an endpoint can't be used", zap.String("endpoint", name), zap.Error(err))
+			continue
+		}
+		e.ColdUntil = k.coldUntil[name]
+		list = append(list, e)
+	}
+	k.w.apply(at, list)
+}
+
+// coldTolerance is how far two notes of when an endpoint is warm may lie apart
+// and be the same.
+const coldTolerance = 500 * time.Millisecond
+
+// sameEndpoint reports whether two entries say the same but for the time that
+// has passed between them.
+func sameEndpoint(a, b *pb.Endpoint) bool {
+	if (a.GetColdLeft().AsDuration() > 0) != (b.GetColdLeft().AsDuration() > 0) ||
+		b.GetColdLeft().AsDuration() > a.GetColdLeft().AsDuration()+coldTolerance {
+		return false
+	}
+	x, y := proto.CloneOf(a), proto.CloneOf(b)
+	x.ColdLeft, y.ColdLeft = nil, nil
+	return proto.Equal(x, y)
+}
+
+// outsKind keeps the failure domains that are out of service.
+type outsKind struct {
+	w     *Watcher
+	known map[string]bool
+	// applied is nil until the list has been put in force: what peers said
+	// meanwhile may differ.
+	applied map[string]bool
+}
+
+func (k *outsKind) feed() Feed[struct{}] { return k.w.Outs }
+func (k *outsKind) wait() time.Duration  { return outsWait }
+func (k *outsKind) pause() time.Duration { return 0 }
+func (k *outsKind) read(time.Duration)   {}
+
+func (k *outsKind) reset() {
+	clear(k.known)
+	k.applied = nil
+}
+
+func (k *outsKind) take(changes []Change[struct{}], at uint64) {
+	for _, c := range changes {
+		if c.Removed {
+			delete(k.known, c.Name)
+		} else {
+			k.known[c.Name] = true
+		}
+	}
+	if k.applied != nil && maps.Equal(k.applied, k.known) {
+		return
+	}
+	k.applied = maps.Clone(k.known)
+	domains := slices.Sorted(maps.Keys(k.known))
+	if k.w.State.SetOuts(at, domains) {
+		k.w.Log.Info("watch: the failure domains out of service changed", zap.Strings("failure-domains", domains), zap.Uint64("revision", at))
+		k.w.Changed()
+	}
+}
--- /dev/null
+++ b/io/crwatch/outage.go
@@ -0,0 +1,63 @@
+package crwatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusrack/core/crroster"
+)
+
+// failuresOfOutage is how many calls in a row fail in an outage: a single one
+// may have lost its connection.
+const failuresOfOutage = 2
+
+// outage tells whether the store can be reached.
+type outage struct {
+	mu       sync.Mutex
+	failures int
+	lost     bool
+	since    time.Time
+	returned time.Time
+}
+
+// failed notes a failed call.
+func (w *Watcher) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	o := &w.outage
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures++
+	if o.lost || o.failures < failuresOfOutage {
+		return
+	}
+	o.lost, o.since = true, time.Now()
+	w.State.SetSelf(func(s *crroster.Status) { s.StoreLost = true })
+	w.Log.Warn("watch: the store is lost", zap.Error(err))
+}
+
+// succeeded notes a call that was answered.
+func (w *Watcher) succeeded() {
+	o := &w.outage
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.failures = 0
+	if !o.lost {
+		return
+	}
+	o.lost, o.returned = false, time.Now()
+	w.State.SetSelf(func(s *crroster.Status) { s.StoreLost = false })
+	w.Log.Info("watch: the store is back", zap.Duration("after-ms", o.returned.Sub(o.since)))
+}
+
+// settling reports whether the store is lost or has been back for so short a
+// time that live endpoints may still be missing.
+func (o *outage) settling(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lost || o.failures > 0 || !o.returned.IsZero() && now.Sub(o.returned) < returnGrace
+}
