Start a watch from the endpoints in force, not from an old list

Cause: an instance that had stopped watching kept its list of endpoints and its note that the store was lost.

Change: a watch begins with what is in force here, by whoever told it; the store counts as returned only if nobody in the fleet had reached it meanwhile. Engines in the own failure domain may lack 768 tokens and still be preferred.

--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -30,6 +30,9 @@
 	// foreignDomain is the work that a plain service's endpoint in another
 	// failure domain must have less to be taken.
 	foreignDomain = 1.0
+	// localTokens is the context, in tokens, whose transfer between endpoints
+	// costs as much as a request that crosses failure domains.
+	localTokens = 768
 	// queueShare is how many requests may wait at an endpoint, as a share of
 	// its slots.
 	queueShare = 1.0
@@ -268,12 +271,22 @@
 	return slices.MaxFunc(list, func(x, y candidate) int {
 		return cmp.Or(
 			compareBool(float64(x.work) <= spread, float64(y.work) <= spread),
-			cmp.Compare(x.held, y.held),
+			cmp.Compare(p.worth(x), p.worth(y)),
 			cmp.Compare(crhash.Mix(subject, uint64(x.Key)), crhash.Mix(subject, uint64(y.Key))),
 		)
 	})
 }
 
+// worth returns the context that an endpoint holds, in tokens. One in the own
+// failure domain may hold less: what it lacks comes from another endpoint, while
+// a request to another domain crosses both ways.
+func (p *Placer) worth(c candidate) int {
+	if c.FailureDomain == p.FailureDomain {
+		return c.held + localTokens
+	}
+	return c.held
+}
+
 func compareBool(x, y bool) int {
 	switch {
 	case x == y:
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -1,10 +1,12 @@
 package crforward
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
+	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crhealth"
 )
@@ -74,6 +76,9 @@
 	if g := x.trace.grant; g != nil {
 		fields = append(fields, grantFields(g)...)
 	}
+	if len(x.links) > 0 {
+		fields = append(fields, zap.String("context", strconv.FormatUint(crcontext.Subject(x.links), 16)))
+	}
 	if x.trace.resumed > 0 {
 		fields = append(fields, zap.Int("resumed", x.trace.resumed))
 	}
--- a/io/crwatch/kinds.go
+++ b/io/crwatch/kinds.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -45,9 +46,8 @@
 type endpointsKind struct {
 	w     *Watcher
 	known map[string]*pb.Endpoint
-	// missing are endpoints whose entries went away around an outage of the
-	// store, by when that was noticed.
-	missing map[string]time.Time
+	// missing are endpoints whose entries have gone.
+	missing map[string]bool
 	// coldUntil is when each endpoint is warm; an entry says only how long
 	// that was when it was written.
 	coldUntil map[string]time.Time
@@ -59,33 +59,30 @@
 func (k *endpointsKind) pause() time.Duration    { return endpointsPause }
 func (k *endpointsKind) read(time.Duration)      {}
 
-// reset notes all endpoints as missing; those that are listed are not.
+// reset starts from the endpoints in force, which peers may have told while this
+// instance didn't watch. Those that the list then lacks are missing.
 func (k *endpointsKind) reset() {
+	now := time.Now()
 	k.applied = nil
-	for name := range k.known {
-		k.miss(name)
-	}
-}
-
-func (k *endpointsKind) miss(name string) {
-	if k.missing == nil {
-		k.missing = make(map[string]time.Time)
-	}
-	if _, noted := k.missing[name]; !noted {
-		k.missing[name] = time.Now()
+	k.known = make(map[string]*pb.Endpoint)
+	k.missing = make(map[string]bool)
+	k.coldUntil = make(map[string]time.Time)
+	m := k.w.State.Snapshot(now, math.MaxUint64, 0, math.MaxUint64)
+	for _, e := range m.GetEndpoints().GetEndpoints() {
+		k.known[e.GetId()] = e
+		k.missing[e.GetId()] = true
+		k.coldUntil[e.GetId()] = now.Add(e.GetColdLeft().AsDuration())
 	}
 }
 
 func (k *endpointsKind) take(changes []Change[pb.Endpoint], at uint64) {
 	now := time.Now()
-	if k.coldUntil == nil {
-		k.coldUntil = make(map[string]time.Time)
-	}
 	for _, c := range changes {
 		switch {
 		case c.Removed:
-			k.miss(c.Name)
+			k.missing[c.Name] = true
 		case c.Value == nil:
+			k.w.Log.Warn("watch: an endpoint's entry can't be read", zap.String("endpoint", c.Name), zap.Uint64("revision", at))
 			delete(k.known, c.Name)
 			delete(k.missing, c.Name)
 		default:
@@ -96,13 +93,12 @@
 	}
 	// What went missing while the store was away is believed only when live
 	// endpoints have had the time to return.
-	settling := k.w.outage.settling(now)
-	for name := range k.missing {
-		if !settling {
+	if !k.w.outage.settling(now) {
+		for name := range k.missing {
 			delete(k.known, name)
-			delete(k.missing, name)
 			delete(k.coldUntil, name)
 		}
+		clear(k.missing)
 	}
 	k.apply(now, at)
 }
--- a/io/crwatch/outage.go
+++ b/io/crwatch/outage.go
@@ -40,7 +40,8 @@
 	w.Log.Warn("watch: the store is lost", zap.Error(err))
 }
 
-// succeeded notes a call that was answered.
+// succeeded notes a call that was answered. The store has come back only if
+// nobody else in the fleet had reached it meanwhile.
 func (w *Watcher) succeeded() {
 	o := &w.outage
 	o.mu.Lock()
@@ -49,9 +50,12 @@
 	if !o.lost {
 		return
 	}
-	o.lost, o.returned = false, time.Now()
+	o.lost = false
+	if age, ok := w.State.Evidence.Age(w.State.Elapsed()); !ok || age > ownAge {
+		o.returned = time.Now()
+	}
 	w.State.SetSelf(func(s *crroster.Status) { s.StoreLost = false })
-	w.Log.Info("watch: the store is back", zap.Duration("after-ms", o.returned.Sub(o.since)))
+	w.Log.Info("watch: the store is back", zap.Duration("after-ms", time.Since(o.since)))
 }
 
 // settling reports whether the store is lost or has been back for so short a
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -94,7 +94,7 @@
 	other := make(chan struct{})
 	go func() {
 		defer close(other)
-		follow(ctx, w, &endpointsKind{w: w, known: make(map[string]*pb.Endpoint)})
+		follow(ctx, w, &endpointsKind{w: w})
 	}()
 	found := make(chan struct{})
 	go func() {
@@ -121,8 +121,8 @@
 	feed() Feed[T]
 	wait() time.Duration
 	pause() time.Duration
-	// reset forgets all objects, before a list; take takes changes and the
-	// position that they lead to.
+	// reset prepares for a list; take takes changes and the position that they
+	// lead to.
 	reset()
 	take(changes []Change[T], at uint64)
 	// read notes a call that began at a reading of the clock.
