Keep contexts through restarts, and read each shared prompt once

Change: the leading instance writes the contexts of the last minutes to the store every 2 s, within 5 KB/s; an instance that starts reads them there and at the first peer. A request waits up to 0.5 s for an endpoint that reads a long part of its prompt.

--- a/core/crcontext/context.go
+++ b/core/crcontext/context.go
@@ -4,6 +4,8 @@
 package crcontext
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"crocusrack/core/crhash"
@@ -65,46 +67,128 @@
 type holder struct {
 	endpoint crledger.Key
 	used     time.Time
+	// readingUntil is when the endpoint has read the chain at the latest; the
+	// zero time once it has.
+	readingUntil time.Time
+}
+
+type chain struct {
+	holders []holder
+	tokens  int
+	// shared is true for chains that further requests may have.
+	shared bool
 }
 
 // Table maps chains to the endpoints that hold them. Its zero value is empty.
 type Table struct {
-	chains crrecent.Map[uint64, []holder]
+	chains crrecent.Map[uint64, *chain]
+}
+
+// Holding says that an endpoint holds a chain that requests share.
+type Holding struct {
+	Link
+	Endpoint crledger.Key
+	// Used is when the holding was last of use.
+	Used time.Time
 }
 
-// Note notes that an endpoint holds a chain, or is about to.
-func (t *Table) Note(now time.Time, chain uint64, endpoint crledger.Key) {
+// Note notes that an endpoint holds a chain. It reads the chain until the given
+// time if that isn't zero.
+func (t *Table) Note(now time.Time, l Link, shared bool, endpoint crledger.Key, readingUntil time.Time) {
 	t.chains.Limit = maxChains
-	holders, _ := t.chains.Get(chain)
-	for i := range holders {
-		if holders[i].endpoint == endpoint {
-			holders[i].used = now
-			return
-		}
+	c, ok := t.chains.Get(l.Chain)
+	if !ok {
+		c = &chain{tokens: l.Tokens}
+		t.chains.Put(l.Chain, c)
 	}
-	if len(holders) >= maxHolders {
-		oldest := 0
-		for i := range holders {
-			if holders[i].used.Before(holders[oldest].used) {
-				oldest = i
+	c.shared = c.shared || shared
+	oldest := 0
+	for i := range c.holders {
+		if h := &c.holders[i]; h.endpoint == endpoint {
+			if !h.readingUntil.IsZero() || now.Sub(h.used) >= lifetime {
+				h.readingUntil = readingUntil
 			}
+			h.used = now
+			return
+		}
+		if c.holders[i].used.Before(c.holders[oldest].used) {
+			oldest = i
 		}
-		holders[oldest] = holder{endpoint, now}
+	}
+	n := holder{endpoint, now, readingUntil}
+	if len(c.holders) >= maxHolders {
+		c.holders[oldest] = n
 		return
 	}
-	t.chains.Put(chain, append(holders, holder{endpoint, now}))
+	c.holders = append(c.holders, n)
 }
 
+// Forget drops an endpoint from the holders of a chain: it broke off before it
+// had read it.
+func (t *Table) Forget(l Link, endpoint crledger.Key) {
+	c, ok := t.chains.Get(l.Chain)
+	if !ok {
+		return
+	}
+	c.holders = slices.DeleteFunc(c.holders, func(h holder) bool {
+		return h.endpoint == endpoint && !h.readingUntil.IsZero()
+	})
+}
+
+func (h *holder) reading(now time.Time) bool { return now.Before(h.readingUntil) }
+
 // Held returns how many tokens of a prompt each endpoint holds.
 func (t *Table) Held(now time.Time, links []Link) map[crledger.Key]int {
 	held := make(map[crledger.Key]int)
+	t.each(now, links, func(l Link, h *holder) {
+		if !h.reading(now) {
+			held[h.endpoint] = max(held[h.endpoint], l.Tokens)
+		}
+	})
+	return held
+}
+
+// Reading returns the longest chain of a prompt that an endpoint is reading, in
+// tokens, and when it has read it at the latest.
+func (t *Table) Reading(now time.Time, links []Link) (tokens int, until time.Time) {
+	t.each(now, links, func(l Link, h *holder) {
+		if h.reading(now) && l.Tokens > tokens {
+			tokens, until = l.Tokens, h.readingUntil
+		}
+	})
+	return tokens, until
+}
+
+func (t *Table) each(now time.Time, links []Link, do func(Link, *holder)) {
 	for _, l := range links {
-		holders, _ := t.chains.Get(l.Chain)
-		for _, h := range holders {
-			if now.Sub(h.used) < lifetime {
-				held[h.endpoint] = max(held[h.endpoint], l.Tokens)
+		c, ok := t.chains.Get(l.Chain)
+		if !ok {
+			continue
+		}
+		for i := range c.holders {
+			if now.Sub(c.holders[i].used) < lifetime {
+				do(l, &c.holders[i])
 			}
 		}
 	}
-	return held
+}
+
+// Recent returns the holdings of shared chains that were of use since a time,
+// the latest first, at most limit of them.
+func (t *Table) Recent(since time.Time, limit int) []Holding {
+	var list []Holding
+	for hash, c := range t.chains.All() {
+		if !c.shared {
+			continue
+		}
+		for _, h := range c.holders {
+			if h.used.After(since) && h.readingUntil.IsZero() {
+				list = append(list, Holding{Link: Link{Chain: hash, Tokens: c.tokens}, Endpoint: h.endpoint, Used: h.used})
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b Holding) int {
+		return cmp.Or(b.Used.Compare(a.Used), cmp.Compare(a.Chain, b.Chain), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return list[:min(len(list), limit)]
 }
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crevidence"
 	"crocusrack/core/crhealth"
@@ -44,6 +46,9 @@
 	Retries RetryLimit
 	// Elapsed reads a clock that counts suspension.
 	Elapsed func() time.Duration
+	// Urgent is called when other instances are to hear of something at once. It
+	// must not call the state; may be nil.
+	Urgent func()
 	// Evidence is how old the routing is.
 	Evidence crevidence.Evidence
 
@@ -109,6 +114,9 @@
 	Service crroute.Service
 	Links   []crcontext.Link
 	Tried   []crledger.Key
+	// Hasty is true when the request doesn't wait for an endpoint that reads its
+	// prompt.
+	Hasty bool
 }
 
 // Grant is the right to send one request to one endpoint. End it once.
@@ -117,6 +125,8 @@
 	state *State
 	links []crcontext.Link
 	ended bool
+	// read is true once the endpoint has read the prompt.
+	read bool
 }
 
 // Grant chooses an endpoint and counts the request in. The grant's reason is
@@ -129,6 +139,7 @@
 		ColdPerSecond: a.Service.ColdPerSecond,
 		Links:         a.Links,
 		Tried:         a.Tried,
+		Hasty:         a.Hasty,
 		Random:        rand.Uint64(),
 	})
 	g := &Grant{Choice: choice, state: s, links: a.Links}
@@ -141,19 +152,68 @@
 		return g
 	}
 	s.work.Start(choice.Endpoint.Key)
-	s.note(now, a.Links, choice.Endpoint.Key)
+	s.note(now, a.Links, choice)
 	return g
 }
 
-// note notes that an endpoint will hold a prompt. Others are told of the part
-// that further requests share.
-func (s *State) note(now time.Time, links []crcontext.Link, k crledger.Key) {
-	for _, l := range links {
-		s.contexts.Note(now, l.Chain, k)
+const (
+	// slowestRead and readOverhead bound the time in which an endpoint reads a
+	// prompt: half the rate that the users state, and a queue before it.
+	slowestRead  = 25 // tokens per millisecond
+	readOverhead = 150 * time.Millisecond
+	// urgentTokens is the context, in tokens, of which other instances hear at
+	// once: more than an endpoint reads between two reports.
+	urgentTokens = 2048
+)
+
+// note notes that an endpoint will hold a prompt once it has read what it lacks.
+func (s *State) note(now time.Time, links []crcontext.Link, c crplace.Choice) {
+	until := time.Time{}
+	if missing := c.Wanted - c.Held; missing > 0 && c.Source == nil {
+		until = now.Add(readOverhead + time.Duration(missing/slowestRead)*time.Millisecond)
+	}
+	s.hold(now, links, c.Endpoint.Key, until)
+	if !until.IsZero() && c.Wanted-c.Held >= urgentTokens {
+		s.urgent()
+	}
+}
+
+// hold notes a prompt at an endpoint. Other instances are told of the part that
+// further requests share.
+func (s *State) hold(now time.Time, links []crcontext.Link, k crledger.Key, until time.Time) {
+	if len(links) == 0 {
+		return
 	}
-	if len(links) > 0 {
-		shared := links[max(0, len(links)-2)]
-		s.reports.context(now, &pb.Context{Chain: shared.Chain, Endpoint: uint64(k), Tokens: uint32(shared.Tokens)})
+	last := max(0, len(links)-2)
+	for i, l := range links {
+		s.contexts.Note(now, l, i <= last, k, until)
+	}
+	shared := links[last]
+	m := &pb.Context{Chain: shared.Chain, Endpoint: uint64(k), Tokens: uint32(shared.Tokens)}
+	if !until.IsZero() {
+		m.Reading = durationpb.New(until.Sub(now))
+	}
+	s.reports.context(now, m)
+}
+
+func (s *State) urgent() {
+	if s.Urgent != nil {
+		s.Urgent()
+	}
+}
+
+// Read notes that the endpoint has read the request's prompt.
+func (g *Grant) Read(now time.Time) {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	if len(g.links) == 0 || g.read {
+		return
+	}
+	g.read = true
+	s.hold(now, g.links, g.Endpoint.Key, time.Time{})
+	if g.Wanted-g.Held >= urgentTokens && g.Source == nil {
+		s.urgent()
 	}
 }
 
@@ -177,6 +237,11 @@
 	}
 	g.ended = true
 	s.work.End(g.Endpoint.Key)
+	if o == crhealth.Good && !g.read {
+		g.read = true
+		s.hold(now, g.links, g.Endpoint.Key, time.Time{})
+	}
+	g.unread()
 	return s.health.Note(now, g.Endpoint.Key, o, s.placer.UsualRate(g.Endpoint.Service, g.Endpoint.Key))
 }
 
@@ -189,6 +254,17 @@
 	if !g.ended {
 		g.ended = true
 		s.work.End(g.Endpoint.Key)
+		g.unread()
+	}
+}
+
+// unread forgets a prompt that the endpoint was to read and didn't.
+func (g *Grant) unread() {
+	if g.read {
+		return
+	}
+	for _, l := range g.links {
+		g.state.contexts.Forget(l, g.Endpoint.Key)
 	}
 }
 
@@ -284,6 +360,14 @@
 	return s.roster.Watches(now)
 }
 
+// Leads reports whether this instance is the one that writes what the fleet keeps
+// in the store.
+func (s *State) Leads(now time.Time) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Leads(now)
+}
+
 // Alive returns the other live instances.
 func (s *State) Alive(now time.Time) []crroster.Instance {
 	s.lock(now)
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"crocusrack/core/crcontext"
 	"crocusrack/core/crledger"
 	"crocusrack/core/crplace"
 	"crocusrack/core/crroster"
@@ -21,6 +22,12 @@
 	// maxContexts and maxWork bound a report to what fits in few datagrams.
 	maxContexts = 24
 	maxWork     = 200
+	// checkpointAge is how long ago a context was last of use to be told to an
+	// instance that starts: chats that pause return within minutes.
+	checkpointAge = 3 * time.Minute
+	// checkpointSize bounds the contexts told to an instance that starts: at
+	// some 20 bytes each they stay below 100 KB.
+	checkpointSize = 4000
 )
 
 // reports is what is kept for the reports to other instances.
@@ -43,7 +50,7 @@
 
 func (r *reports) context(now time.Time, c *pb.Context) {
 	r.recent = slices.DeleteFunc(r.recent, func(o recentContext) bool {
-		return now.Sub(o.at) > contextRepeat || o.Chain == c.GetChain() && o.Endpoint == c.GetEndpoint()
+		return now.Sub(o.at) > contextRepeat || o.GetChain() == c.GetChain() && o.GetEndpoint() == c.GetEndpoint()
 	})
 	if len(r.recent) < maxContexts {
 		r.recent = append(r.recent, recentContext{now, c})
@@ -178,13 +185,44 @@
 	}
 	s.work.Report(now, name, work)
 	for _, c := range m.GetContexts() {
-		s.contexts.Note(now, c.GetChain(), crledger.Key(c.GetEndpoint()))
+		s.takeContext(now, c)
 	}
 	for _, k := range m.GetUnreachable() {
 		s.health.Heard(now, crledger.Key(k))
 	}
 }
 
+func (s *State) takeContext(now time.Time, c *pb.Context) {
+	until := time.Time{}
+	if c.Reading != nil {
+		until = now.Add(c.GetReading().AsDuration())
+	}
+	link := crcontext.Link{Chain: c.GetChain(), Tokens: int(c.GetTokens())}
+	s.contexts.Note(now, link, true, crledger.Key(c.GetEndpoint()), until)
+}
+
+// Contexts returns what endpoints hold and was of use lately.
+func (s *State) Contexts(now time.Time) *pb.Contexts {
+	s.lock(now)
+	defer s.mu.Unlock()
+	m := &pb.Contexts{}
+	for _, h := range s.contexts.Recent(now.Add(-checkpointAge), checkpointSize) {
+		if s.placer.Endpoint(h.Endpoint) != nil {
+			m.Contexts = append(m.Contexts, &pb.Context{Chain: h.Chain, Endpoint: uint64(h.Endpoint), Tokens: uint32(h.Tokens)})
+		}
+	}
+	return m
+}
+
+// TakeContexts takes in what endpoints hold by another instance's word.
+func (s *State) TakeContexts(now time.Time, m *pb.Contexts) {
+	s.lock(now)
+	defer s.mu.Unlock()
+	for _, c := range slices.Backward(m.GetContexts()) {
+		s.takeContext(now, c)
+	}
+}
+
 func (s *State) behind(m *pb.Report) bool {
 	version := uint64(0)
 	if s.table != nil {
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -39,6 +39,9 @@
 	// fetchTokens is the least context that is worth a transfer between
 	// endpoints: reading fewer takes less time than the set-up.
 	fetchTokens = 256
+	// waitTokens is the least context that is worth the wait for an endpoint that
+	// reads it: at tens of tokens a millisecond, some tens of milliseconds.
+	waitTokens = 1024
 	// maxEjected is the largest share of a service's endpoints that is left
 	// out for their failures.
 	maxEjected = 0.5
@@ -76,6 +79,9 @@
 	Links []crcontext.Link
 	// Tried are endpoints that the request was sent to already.
 	Tried []crledger.Key
+	// Hasty is true when the request doesn't wait for an endpoint that reads its
+	// prompt.
+	Hasty bool
 	// Random is a random number that decides between equals.
 	Random uint64
 }
@@ -92,9 +98,11 @@
 	Busy
 	// Cold: only cold ones are left, and they have what they bear.
 	Cold
+	// Reading: another request's prompt is being read that this one shares.
+	Reading
 )
 
-var reasonNames = [...]string{Chosen: "chosen", Absent: "no-endpoint", Busy: "all-busy", Cold: "all-cold"}
+var reasonNames = [...]string{Chosen: "chosen", Absent: "no-endpoint", Busy: "all-busy", Cold: "all-cold", Reading: "reading"}
 
 // String returns the reason in kebab case.
 func (r Reason) String() string {
@@ -113,6 +121,9 @@
 	Source *Endpoint
 	// Held and Wanted are the tokens that the endpoint holds and the prompt has.
 	Held, Wanted int
+	// Reading is how long to wait for an endpoint that reads a long part of the
+	// prompt just now: no other then has to read it too. Endpoint is nil.
+	Reading time.Duration
 	// InFlight and Mean are the work of the endpoint and of the service's mean
 	// endpoint when it was chosen.
 	InFlight int
@@ -189,6 +200,9 @@
 // Place chooses an endpoint.
 func (p *Placer) Place(now time.Time, a Ask) Choice {
 	held := p.Contexts.Held(now, a.Links)
+	if wait := p.reading(now, a, held); wait > 0 {
+		return Choice{Reason: Reading, Reading: wait}
+	}
 	list := p.candidates(now, a, held)
 	if len(list) == 0 {
 		return Choice{Reason: Absent, RetryAfter: absentRetry}
@@ -212,6 +226,24 @@
 	return Choice{Reason: reason, Mean: mean, RetryAfter: busyRetry}
 }
 
+// reading returns how long to wait for an endpoint that reads more of the prompt
+// than any endpoint holds.
+func (p *Placer) reading(now time.Time, a Ask, held map[crledger.Key]int) time.Duration {
+	if a.Hasty || len(a.Links) == 0 {
+		return 0
+	}
+	tokens, until := p.Contexts.Reading(now, a.Links)
+	for k, n := range held {
+		if n+waitTokens > tokens && p.byKey[k] != nil {
+			return 0
+		}
+	}
+	if tokens < waitTokens {
+		return 0
+	}
+	return until.Sub(now)
+}
+
 // candidates returns the endpoints that may be used. Those that failed lately
 // are among them only when they would be too large a share of the service.
 func (p *Placer) candidates(now time.Time, a Ask, held map[crledger.Key]int) []candidate {
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -21,9 +21,9 @@
 	SilentAfter = 900 * time.Millisecond
 	// forgetAfter is when a silent instance isn't sent reports any more.
 	forgetAfter = 30 * time.Second
-	// watchers is how many instances watch the store, in different failure
+	// watcherCount is how many instances watch the store, in different failure
 	// domains if there are any: one may be lost without delay for the others.
-	watchers = 2
+	watcherCount = 2
 	// maxAddresses is the most addresses in one answer to a caller.
 	maxAddresses = 64
 	// localAddresses is how many addresses in the caller's failure domain are
@@ -173,14 +173,16 @@
 	return list[:min(len(list), maxAddresses)]
 }
 
-// Watches reports whether this instance is one of those that watch the store.
-// Instances that can't reach it come last.
-func (r *Roster) Watches(now time.Time) bool {
-	type candidate struct {
-		Instance
-		lost  bool
-		score uint64
-	}
+type candidate struct {
+	Instance
+	// unfit is true for instances that can't reach the store or leave.
+	unfit bool
+	score uint64
+}
+
+// watchers returns the instances that watch the store, the first of them also
+// writes to it. Those that are unfit come last.
+func (r *Roster) watchers(now time.Time) []candidate {
 	list := []candidate{{r.Self, r.Status.StoreLost || r.Status.Leaving, watchScore(r.Self)}}
 	for _, e := range r.peers {
 		if e.alive(now) {
@@ -188,13 +190,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		if a.lost != b.lost {
-			if a.lost {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(boolRank(a.unfit)-boolRank(b.unfit), cmp.Compare(a.score, b.score), cmp.Compare(a.Name, b.Name))
 	})
 	var chosen []candidate
 	for _, distinct := range []bool{true, false} {
@@ -202,13 +198,31 @@
 			known := slices.ContainsFunc(chosen, func(o candidate) bool {
 				return o.Name == c.Name || distinct && o.FailureDomain == c.FailureDomain
 			})
-			if known || len(chosen) == watchers || distinct && c.lost {
+			if known || len(chosen) == watcherCount || distinct && c.unfit {
 				continue
 			}
 			chosen = append(chosen, c)
 		}
 	}
-	return slices.ContainsFunc(chosen, func(c candidate) bool { return c.Name == r.Self.Name })
+	return chosen
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Watches reports whether this instance is one of those that watch the store.
+func (r *Roster) Watches(now time.Time) bool {
+	return slices.ContainsFunc(r.watchers(now), func(c candidate) bool { return c.Name == r.Self.Name })
+}
+
+// Leads reports whether this instance is the one that writes to the store.
+func (r *Roster) Leads(now time.Time) bool {
+	list := r.watchers(now)
+	return len(list) > 0 && list[0].Name == r.Self.Name
 }
 
 func watchScore(i Instance) uint64 { return crhash.Mix(crhash.Of(i.Name), crhash.Of("watch")) }
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"crocusrack/core/crbackoff"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
@@ -41,7 +42,7 @@
 		if sent > 0 && !x.mayRepeat(sent) {
 			break
 		}
-		grant := x.State.Grant(time.Now(), crgrant.Ask{Service: x.service, Links: x.links, Tried: tried})
+		grant := x.grant(ctx, tried)
 		if grant.Endpoint == nil {
 			if sent == 0 {
 				x.refuse(grant.Reason.String(), grant.RetryAfter)
@@ -91,6 +92,32 @@
 	x.giveUp(ctx, failure)
 }
 
+const (
+	// readingPoll is how often a request asks again for an endpoint that reads
+	// its prompt.
+	readingPoll = 20 * time.Millisecond
+	// maxReading is how long a request waits for that at most.
+	maxReading = 500 * time.Millisecond
+)
+
+// grant asks for an endpoint. It waits a while for one that reads a long part of
+// the request's prompt for another request.
+func (x *exchange) grant(ctx context.Context, tried []crledger.Key) *crgrant.Grant {
+	asked := time.Now()
+	for {
+		waited := time.Since(asked)
+		g := x.State.Grant(time.Now(), crgrant.Ask{
+			Service: x.service, Links: x.links, Tried: tried, Hasty: waited > maxReading || ctx.Err() != nil,
+		})
+		if g.Reading <= 0 {
+			x.trace.waited += waited
+			return g
+		}
+		// An ended context makes the next ask a hasty one.
+		_ = crbackoff.Sleep(ctx, min(g.Reading, readingPoll))
+	}
+}
+
 // mayRepeat reports whether a request that was sent may be sent once more.
 func (x *exchange) mayRepeat(sent int) bool {
 	return sent < x.route.MaxAttempts && time.Until(x.deadline) > 0 && x.State.Retry(time.Now(), x.service.Name)
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -72,7 +72,7 @@
 		return nil, nil
 	}
 	for x.mayRepeat(x.trace.attempts) {
-		g := x.State.Grant(time.Now(), crgrant.Ask{Service: x.service, Links: x.links, Tried: *tried})
+		g := x.grant(ctx, *tried)
 		if g.Endpoint == nil {
 			return nil, nil
 		}
@@ -140,6 +140,9 @@
 		case p := <-pieces:
 			watch.heard()
 			timer.Reset(stallGap)
+			if len(p.data) > 0 {
+				g.Read(time.Now())
+			}
 			if err := s.take(answer, p); err != nil || p.err != nil {
 				if p.err == io.EOF && err == nil {
 					return s.close(answer)
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -22,8 +22,10 @@
 	notRun     int
 	mayHaveRun bool
 	resumed    int
-	grant      *crgrant.Grant
-	firstAt    time.Time
+	// waited is the time spent on an endpoint that read a shared prompt.
+	waited  time.Duration
+	grant   *crgrant.Grant
+	firstAt time.Time
 }
 
 // attempt notes a grant.
@@ -79,6 +81,9 @@
 	if len(x.links) > 0 {
 		fields = append(fields, zap.String("context", strconv.FormatUint(crcontext.Subject(x.links), 16)))
 	}
+	if x.trace.waited > time.Millisecond {
+		fields = append(fields, zap.Duration("waited-ms", x.trace.waited))
+	}
 	if x.trace.resumed > 0 {
 		fields = append(fields, zap.Int("resumed", x.trace.resumed))
 	}
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -60,6 +60,8 @@
 	now      chan struct{}
 	once     sync.Once
 	fetching atomic.Bool
+	// contexts is true once a peer has told what endpoints hold.
+	contexts atomic.Bool
 	sent     atomic.Int64
 	received atomic.Int64
 }
@@ -166,6 +168,9 @@
 		l.State.Introduce(now, reply)
 		l.send(heard.From.Peer, reply)
 	}
+	if heard.New && l.contexts.CompareAndSwap(false, true) {
+		tasks.Go(func() { l.fetchContexts(ctx, heard.From) })
+	}
 	if heard.Behind && l.fetching.CompareAndSwap(false, true) {
 		tasks.Go(func() {
 			defer l.fetching.Store(false)
@@ -178,7 +183,7 @@
 func (l *Link) fetch(ctx context.Context, from crroster.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	m, err := l.get(ctx, from)
+	m, err := l.get(ctx, from, false)
 	if err == nil {
 		err = l.State.Adopt(time.Now(), m)
 	}
@@ -192,9 +197,30 @@
 	l.Adopted(from.Name)
 }
 
-func (l *Link) get(ctx context.Context, from crroster.Instance) (*pb.Snapshot, error) {
+// fetchContexts takes what endpoints hold from a peer. One that has just started
+// itself knows nothing; another is asked then.
+func (l *Link) fetchContexts(ctx context.Context, from crroster.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	m, err := l.get(ctx, from, true)
+	if err != nil {
+		l.contexts.Store(false)
+		l.Log.Warn("link: a peer's contexts can't be had", zap.String("instance", from.Name), zap.Error(err))
+		return
+	}
+	count := len(m.GetContexts().GetContexts())
+	if count == 0 {
+		l.contexts.Store(false)
+		return
+	}
+	l.State.TakeContexts(time.Now(), m.GetContexts())
+	l.Log.Info("link: took over a peer's contexts", zap.String("instance", from.Name), zap.Int("contexts", count))
+}
+
+func (l *Link) get(ctx context.Context, from crroster.Instance, contexts bool) (*pb.Snapshot, error) {
 	routing, endpoints, outs := l.State.Have()
-	url := fmt.Sprintf("http://%s%s?routing=%d&endpoints=%d&outs=%d", from.Peer, snapshotPath, routing, endpoints, outs)
+	url := fmt.Sprintf("http://%s%s?routing=%d&endpoints=%d&outs=%d&contexts=%t",
+		from.Peer, snapshotPath, routing, endpoints, outs, contexts)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -227,7 +253,11 @@
 			}
 			have[i] = n
 		}
-		data, err := proto.Marshal(l.State.Snapshot(time.Now(), have[0], have[1], have[2]))
+		m := l.State.Snapshot(time.Now(), have[0], have[1], have[2])
+		if r.FormValue("contexts") == "true" {
+			m.Contexts = l.State.Contexts(time.Now())
+		}
+		data, err := proto.Marshal(m)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -133,6 +133,7 @@
 		Run:     r.RunNumber,
 		Retries: crgrant.RetryLimit{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow},
 		Elapsed: r.Elapsed,
+		Urgent:  func() { r.link.Tell() },
 	}
 	r.hop = &crhop.Client{Opened: func() { r.Metrics.Connections.Add(1) }}
 	r.forwarder = &crforward.Forwarder{
--- /dev/null
+++ b/io/crwatch/checkpoint.go
@@ -0,0 +1,92 @@
+package crwatch
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"crocusrack/core/crbackoff"
+	pb "crocusrack/schema/crrouter"
+)
+
+const (
+	// checkpointPause is the pause between two writes of what endpoints hold:
+	// after a loss of all instances, that much of it is unknown.
+	checkpointPause = 2 * time.Second
+	// checkpointRate bounds the bytes a second that the writes take, as part of
+	// the control traffic that the users allow an instance.
+	checkpointRate = 5000
+	// loadAttempts is how often an instance that starts tries to read them.
+	loadAttempts = 4
+)
+
+// Checkpoint keeps bytes in the store. Load returns none when nothing is kept.
+type Checkpoint struct {
+	Save func(ctx context.Context, data []byte) error
+	Load func(ctx context.Context) ([]byte, error)
+}
+
+// keepContexts reads what endpoints hold at the start, and writes it while this
+// instance leads: when all instances stop at once, those that start then still
+// find returning chats' endpoints.
+func (w *Watcher) keepContexts(ctx context.Context) {
+	w.loadContexts(ctx)
+	var written []byte
+	pause := checkpointPause
+	for crbackoff.Sleep(ctx, pause) == nil {
+		pause = checkpointPause
+		if !w.State.Leads(time.Now()) {
+			continue
+		}
+		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(w.State.Contexts(time.Now()))
+		if err != nil {
+			w.Log.Error("watch: contexts can't be encoded", zap.Error(err))
+			continue
+		}
+		if len(data) == 0 || bytes.Equal(data, written) {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err = w.Contexts.Save(callCtx, data)
+		cancel()
+		if err != nil {
+			w.failed(ctx, err)
+			continue
+		}
+		written = data
+		pause = max(pause, time.Duration(len(data))*time.Second/checkpointRate)
+	}
+}
+
+func (w *Watcher) loadContexts(ctx context.Context) {
+	retry := crbackoff.Backoff{Base: retryBase, Max: retryMax}
+	for attempt := range loadAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		data, err := w.Contexts.Load(callCtx)
+		cancel()
+		if err == nil {
+			w.takeContexts(data)
+			return
+		}
+		w.Log.Warn("watch: kept contexts can't be read yet", zap.Error(err))
+		if retry.Sleep(ctx, attempt) != nil {
+			return
+		}
+	}
+}
+
+func (w *Watcher) takeContexts(data []byte) {
+	m := &pb.Contexts{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		w.Log.Warn("watch: kept contexts are not readable", zap.Error(err))
+		return
+	}
+	if len(m.GetContexts()) == 0 {
+		return
+	}
+	w.State.TakeContexts(time.Now(), m)
+	w.Log.Info("watch: took over kept contexts", zap.Int("contexts", len(m.GetContexts())))
+}
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,6 +78,8 @@
 	Instances Feed[crroster.Instance]
 	// Register writes this instance to the store, for others to find.
 	Register func(ctx context.Context, i crroster.Instance) error
+	// Contexts keeps what endpoints hold in the store.
+	Contexts Checkpoint
 	Log      *zap.Logger
 	// Changed is called after something new came into force.
 	Changed func()
@@ -86,25 +89,13 @@
 
 // Run follows the store until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		follow(ctx, w, &routingKind{w})
-	}()
-	other := make(chan struct{})
-	go func() {
-		defer close(other)
-		follow(ctx, w, &endpointsKind{w: w})
-	}()
-	found := make(chan struct{})
-	go func() {
-		defer close(found)
-		w.announce(ctx)
-	}()
-	follow(ctx, w, &outsKind{w: w, known: make(map[string]bool)})
-	<-done
-	<-other
-	<-found
+	var tasks sync.WaitGroup
+	tasks.Go(func() { follow(ctx, w, &routingKind{w}) })
+	tasks.Go(func() { follow(ctx, w, &endpointsKind{w: w}) })
+	tasks.Go(func() { follow(ctx, w, &outsKind{w: w, known: make(map[string]bool)}) })
+	tasks.Go(func() { w.announce(ctx) })
+	tasks.Go(func() { w.keepContexts(ctx) })
+	tasks.Wait()
 }
 
 // needed reports whether this instance is to read the store now.
