Write events that follow each other closely in one packet

Each event took a packet.

Change: events within 45 ms of the last write are written together; the first and the last aren't held. An answer without any event has its header.

Packets between endpoint and instance stay as they are.

--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,6 +24,10 @@
 	// firstGap is the same before the first event, when the endpoint reads the
 	// prompt.
 	firstGap = 900 * time.Millisecond
+	// coalesce is the least pause between two writes to a caller. A packet that
+	// is lost delays a stream by hundreds of milliseconds; events that follow
+	// each other closely share one.
+	coalesce = 45 * time.Millisecond
 	// maxStall is the silence after which a stream is resumed elsewhere though
 	// its endpoint takes connections.
 	maxStall = 2500 * time.Millisecond
@@ -107,6 +112,9 @@
 type streamer struct {
 	*exchange
 	splitter crstream.Splitter
+	// pending are events that wait to be written.
+	pending []byte
+	wrote   time.Time
 	// started is true once the caller has the header.
 	started  bool
 	writeErr error
@@ -125,31 +133,41 @@
 	defer close(ended)
 	go read(answer.Body, pieces, ended)
 	watch := s.watcher(g)
-	timer := time.NewTimer(firstGap)
-	defer timer.Stop()
+	silence := time.NewTimer(firstGap)
+	defer silence.Stop()
+	due := time.NewTimer(0)
+	defer due.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
-		case <-timer.C:
+		case <-due.C:
+			if err := s.flush(answer); err != nil {
+				return err
+			}
+		case <-silence.C:
 			next, err := watch.look(ctx)
 			if err != nil {
 				return err
 			}
-			timer.Reset(next)
+			silence.Reset(next)
 		case p := <-pieces:
 			watch.heard()
-			timer.Reset(stallGap)
+			silence.Reset(stallGap)
 			if len(p.data) > 0 {
 				g.Read(time.Now())
 			}
-			if err := s.take(answer, p); err != nil || p.err != nil {
-				if p.err == io.EOF && err == nil {
-					return s.close(answer)
-				}
-				if err == nil {
-					err = p.err
-				}
+			s.pending = append(s.pending, s.splitter.Write(p.data)...)
+			switch {
+			case p.err == io.EOF:
+				// Also an answer without events has a header.
+				return s.write(answer, append(s.pending, s.splitter.Rest()...))
+			case p.err != nil:
+				return errors.Join(p.err, s.flush(answer))
+			}
+			if wait := time.Until(s.wrote.Add(coalesce)); wait > 0 {
+				due.Reset(wait)
+			} else if err := s.flush(answer); err != nil {
 				return err
 			}
 		}
@@ -172,18 +190,14 @@
 	}
 }
 
-// take passes the whole events of a piece on.
-func (s *streamer) take(answer *crhop.Answer, p piece) error {
-	events := s.splitter.Write(p.data)
-	if len(events) == 0 {
+// flush writes the pending events.
+func (s *streamer) flush(answer *crhop.Answer) error {
+	if len(s.pending) == 0 {
 		return nil
 	}
-	return s.write(answer, events)
-}
-
-// close passes on what an endpoint that ended properly sent last.
-func (s *streamer) close(answer *crhop.Answer) error {
-	return s.write(answer, s.splitter.Rest())
+	err := s.write(answer, s.pending)
+	s.pending, s.wrote = s.pending[:0], time.Now()
+	return err
 }
 
 func (s *streamer) write(answer *crhop.Answer, b []byte) error {
