Take a holder up to the bound, and weigh its backlog of reading

Cause: requests left their holder at 1.3 times the mean work, which costs a transfer of up to 200 MB and saves next to nothing: one more request slows a step by 2 in 100.

Change: no limit below the bound for holders; an endpoint with a backlog of reading over 300 ms counts as if it held less.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -58,6 +58,7 @@
 	work     crledger.Ledger
 	contexts crcontext.Table
 	health   crhealth.Table
+	reads    crledger.Reads
 	placer   crplace.Placer
 	cold     crplace.ColdGate
 	budgets  map[string]*crretry.Budget
@@ -84,6 +85,7 @@
 			Work:          &s.work,
 			Contexts:      &s.contexts,
 			Health:        &s.health,
+			Reads:         &s.reads,
 			Cold: func(e *crplace.Endpoint, perSecond float64) bool {
 				return s.cold.Admit(s.now, e, perSecond)
 			},
@@ -157,9 +159,7 @@
 }
 
 const (
-	// slowestRead and readOverhead bound the time in which an endpoint reads a
-	// prompt: half the rate that the users state, and a queue before it.
-	slowestRead  = 25 // tokens per millisecond
+	// readOverhead is what an endpoint takes beside the reading of a prompt.
 	readOverhead = 150 * time.Millisecond
 	// urgentTokens is the context, in tokens, of which other instances hear at
 	// once: more than an endpoint reads between two reports.
@@ -170,7 +170,7 @@
 func (s *State) note(now time.Time, links []crcontext.Link, c crplace.Choice) {
 	until := time.Time{}
 	if missing := c.Wanted - c.Held; missing > 0 && c.Source == nil {
-		until = now.Add(readOverhead + time.Duration(missing/slowestRead)*time.Millisecond)
+		until = s.reads.Add(now, c.Endpoint.Key, missing).Add(readOverhead)
 	}
 	s.hold(now, links, c.Endpoint.Key, until)
 	if !until.IsZero() && c.Wanted-c.Held >= urgentTokens {
@@ -318,7 +318,9 @@
 	}
 	s.endpoints, s.endpointsRevision = list, revision
 	s.placer.SetEndpoints(list)
-	s.cold.Forget(func(k crledger.Key) bool { return s.placer.Endpoint(k) != nil })
+	there := func(k crledger.Key) bool { return s.placer.Endpoint(k) != nil }
+	s.cold.Forget(there)
+	s.reads.Forget(there)
 	return true
 }
 
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -196,6 +196,7 @@
 	until := time.Time{}
 	if c.Reading != nil {
 		until = now.Add(c.GetReading().AsDuration())
+		s.reads.Until(crledger.Key(c.GetEndpoint()), until.Add(-readOverhead))
 	}
 	link := crcontext.Link{Chain: c.GetChain(), Tokens: int(c.GetTokens())}
 	s.contexts.Note(now, link, true, crledger.Key(c.GetEndpoint()), until)
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -23,16 +23,18 @@
 	// reported.
 	boundFactor = 1.6
 	boundSlack  = 2.0
-	// spreadFactor and spreadSlack tell up to which load a holder is taken
-	// before any other endpoint.
-	spreadFactor = 1.3
-	spreadSlack  = 1.5
 	// foreignDomain is the work that a plain service's endpoint in another
 	// failure domain must have less to be taken.
 	foreignDomain = 1.0
 	// localTokens is the context, in tokens, whose transfer between endpoints
 	// costs as much as a request that crosses failure domains.
 	localTokens = 768
+	// bearableBacklog is how long an endpoint may read other prompts first
+	// without another being better: some part of the time to the first token
+	// that the users aim at.
+	bearableBacklog = 300 * time.Millisecond
+	// backlogStep is the difference of backlogs that decides between equals.
+	backlogStep = 60 * time.Millisecond
 	// queueShare is how many requests may wait at an endpoint, as a share of
 	// its slots.
 	queueShare = 1.0
@@ -139,6 +141,7 @@
 	Work          *crledger.Ledger
 	Contexts      *crcontext.Table
 	Health        *crhealth.Table
+	Reads         *crledger.Reads
 	// Cold reports whether a cold endpoint bears one more request from this
 	// instance now, and counts it.
 	Cold func(e *Endpoint, perSecond float64) bool
@@ -192,9 +195,10 @@
 
 type candidate struct {
 	*Endpoint
-	work int
-	held int
-	cold bool
+	work    int
+	held    int
+	cold    bool
+	backlog time.Duration
 }
 
 // Place chooses an endpoint.
@@ -210,7 +214,7 @@
 	mean := p.mean(a.Service)
 	warm := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return c.cold || c.full(mean) })
 	if len(warm) > 0 {
-		return p.finish(a, held, p.best(a, warm, mean), mean)
+		return p.finish(a, held, p.best(now, a, warm), mean)
 	}
 	cold := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return !c.cold || c.full(mean) })
 	slices.SortFunc(cold, byWork)
@@ -292,18 +296,20 @@
 func byWork(a, b candidate) int { return cmp.Compare(a.work, b.work) }
 
 // best chooses among endpoints that may all be taken.
-func (p *Placer) best(a Ask, list []candidate, mean float64) candidate {
+func (p *Placer) best(now time.Time, a Ask, list []candidate) candidate {
 	if len(a.Links) == 0 {
 		return p.leastLoaded(a, list)
 	}
 	subject := crcontext.Subject(a.Links)
-	spread := spreadFactor*mean + spreadSlack
+	for i := range list {
+		list[i].backlog = p.Reads.Backlog(now, list[i].Key)
+	}
 	// Instances that place the same new subject at the same moment agree on
 	// the endpoint, since it follows from the subject.
 	return slices.MaxFunc(list, func(x, y candidate) int {
 		return cmp.Or(
-			compareBool(float64(x.work) <= spread, float64(y.work) <= spread),
 			cmp.Compare(p.worth(x), p.worth(y)),
+			cmp.Compare(y.backlog/backlogStep, x.backlog/backlogStep),
 			cmp.Compare(crhash.Mix(subject, uint64(x.Key)), crhash.Mix(subject, uint64(y.Key))),
 		)
 	})
@@ -311,23 +317,17 @@
 
 // worth returns the context that an endpoint holds, in tokens. One in the own
 // failure domain may hold less: what it lacks comes from another endpoint, while
-// a request to another domain crosses both ways.
+// a request to another domain crosses both ways. One that still reads long
+// prompts for others counts as if it held less by what it could read meanwhile.
 func (p *Placer) worth(c candidate) int {
+	n := c.held
 	if c.FailureDomain == p.FailureDomain {
-		return c.held + localTokens
+		n += localTokens
 	}
-	return c.held
-}
-
-func compareBool(x, y bool) int {
-	switch {
-	case x == y:
-		return 0
-	case x:
-		return 1
-	default:
-		return -1
+	if late := c.backlog - bearableBacklog; late > 0 {
+		n -= int(late.Milliseconds()) * crledger.ReadRate
 	}
+	return n
 }
 
 // leastLoaded chooses for requests without context.
