--- /dev/null
+++ b/core/crcontext/context_test.go
@@ -0,0 +1,99 @@
+package crcontext_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"crocusrack/core/crcontext"
+	"crocusrack/core/crledger"
+)
+
+var (
+	start  = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	first  = crcontext.Chain("m", []crcontext.Part{{ID: "system", Tokens: 500}, {ID: "price-list", Tokens: 9000}, {ID: "question-1", Tokens: 100}})
+	second = crcontext.Chain("m", []crcontext.Part{{ID: "system", Tokens: 500}, {ID: "price-list", Tokens: 9000}, {ID: "question-2", Tokens: 200}})
+	other  = crcontext.Chain("m", []crcontext.Part{{ID: "system", Tokens: 500}, {ID: "catalogue", Tokens: 700}, {ID: "question-1", Tokens: 100}})
+)
+
+func note(t *crcontext.Table, links []crcontext.Link, k crledger.Key, until time.Time) {
+	for i, l := range links {
+		t.Note(start, l, i < len(links)-1, k, until)
+	}
+}
+
+func TestSubject(t *testing.T) {
+	if crcontext.Subject(first) != crcontext.Subject(second) {
+		t.Error("requests that share all but their own part have different subjects")
+	}
+	if crcontext.Subject(first) == crcontext.Subject(other) {
+		t.Error("requests that share less have the same subject")
+	}
+	if crcontext.Subject(nil) != 0 {
+		t.Error("no prompt has a subject")
+	}
+}
+
+func TestHeld(t *testing.T) {
+	var table crcontext.Table
+	note(&table, first, 1, time.Time{})
+	note(&table, other, 2, time.Time{})
+	want := map[crledger.Key]int{1: 9500, 2: 500}
+	if diff := cmp.Diff(want, table.Held(start, second)); diff != "" {
+		t.Errorf("held (-want +got):\n%s", diff)
+	}
+	if got := table.Held(start.Add(time.Hour), second); len(got) > 0 {
+		t.Errorf("after an hour of no use %v is held", got)
+	}
+}
+
+func TestReading(t *testing.T) {
+	var table crcontext.Table
+	until := start.Add(200 * time.Millisecond)
+	note(&table, first, 1, until)
+	if got := table.Held(start, second); len(got) > 0 {
+		t.Errorf("%v is held while it is read", got)
+	}
+	if tokens, at := table.Reading(start, second); tokens != 9500 || !at.Equal(until) {
+		t.Errorf("reads %d tokens until %s, want 9500 until %s", tokens, at, until)
+	}
+	table.Note(start, first[1], true, 1, time.Time{})
+	if got := table.Held(start, second)[1]; got != 9500 {
+		t.Errorf("%d tokens are held once they were read, want 9500", got)
+	}
+	// What was read stays read, though a further request notes it as reading.
+	table.Note(start, first[1], true, 1, until)
+	if got := table.Held(start, second)[1]; got != 9500 {
+		t.Errorf("%d tokens are held when one more request reads, want 9500", got)
+	}
+}
+
+func TestForgetKeepsWhatWasRead(t *testing.T) {
+	var table crcontext.Table
+	table.Note(start, first[1], true, 1, time.Time{})
+	table.Note(start, first[1], true, 2, start.Add(time.Second))
+	table.Forget(first[1], 1)
+	table.Forget(first[1], 2)
+	if diff := cmp.Diff(map[crledger.Key]int{1: 9500}, table.Held(start.Add(2*time.Second), second)); diff != "" {
+		t.Errorf("held (-want +got):\n%s", diff)
+	}
+}
+
+func TestRecentAreShared(t *testing.T) {
+	var table crcontext.Table
+	note(&table, first, 1, time.Time{})
+	table.Note(start.Add(time.Second), other[1], true, 2, time.Time{})
+	var got []int
+	for _, h := range table.Recent(start.Add(-time.Second), 2) {
+		got = append(got, h.Tokens)
+	}
+	if len(got) != 2 || got[0] != 1200 {
+		t.Errorf("recent chains have %v tokens, want two, the one used last first", got)
+	}
+	for _, h := range table.Recent(start.Add(-time.Second), 9) {
+		if h.Chain == first[2].Chain {
+			t.Error("a request's own part is told to others")
+		}
+	}
+}
--- /dev/null
+++ b/core/crgrant/grant_test.go
@@ -0,0 +1,289 @@
+package crgrant_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"crocusrack/core/crcontext"
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroster"
+	"crocusrack/core/crroute"
+	pb "crocusrack/schema/crrouter"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// node is an instance with a clock of its own, which counts suspension.
+type node struct {
+	*crgrant.State
+	elapsed time.Duration
+}
+
+func newNode(i int) *node {
+	n := &node{elapsed: time.Duration(i) * time.Hour}
+	a := netip.AddrFrom4([4]byte{10, 0, 0, byte(i)})
+	n.State = &crgrant.State{
+		Self: crroster.Instance{
+			Name: fmt.Sprint("instance-", i), FailureDomain: "noord-a",
+			Front: netip.AddrPortFrom(a, 80), Peer: netip.AddrPortFrom(a, 81),
+		},
+		Run:     uint64(i + 1),
+		Retries: crgrant.RetryLimit{Share: 0.2, Slack: 54, Window: 10 * time.Second},
+		Elapsed: func() time.Duration { return n.elapsed },
+	}
+	return n
+}
+
+// endpoint returns an endpoint of the service llm.
+func endpoint(t *testing.T, id string) *crplace.Endpoint {
+	t.Helper()
+	e, err := crgrant.NewEndpoint(start, &pb.Endpoint{Id: id, Service: "llm", Address: "10.0.1.1:80", FailureDomain: "noord-a", Slots: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func pass(nodes []*node, d time.Duration) {
+	for _, n := range nodes {
+		n.elapsed += d
+	}
+}
+
+func send(t *testing.T, from, to *node) crgrant.Heard {
+	t.Helper()
+	return take(t, to, from.Compose(start, to.Self.Name))
+}
+
+func take(t *testing.T, to *node, m *pb.Report) crgrant.Heard {
+	t.Helper()
+	h, err := to.Receive(start, proto.CloneOf(m))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func age(t *testing.T, n *node) time.Duration {
+	t.Helper()
+	a, ok := n.Evidence.Age(n.elapsed)
+	if !ok {
+		t.Fatalf("%s has no evidence", n.Self.Name)
+	}
+	return a
+}
+
+// TestEvidenceAgesWhileItWaits gives a report to an instance that was suspended
+// for ten seconds while the report lay in its socket. Its evidence must be as
+// old as that, or a key taken away meanwhile would work.
+func TestEvidenceAgesWhileItWaits(t *testing.T) {
+	a, b := newNode(1), newNode(2)
+	both := []*node{a, b}
+	for _, n := range both {
+		n.SetRouting(&pb.Routing{Version: 3})
+	}
+	a.Evidence.Read(a.elapsed)
+	send(t, b, a)
+	pass(both, 100*time.Millisecond)
+	waiting := a.Compose(start, b.Self.Name)
+	pass(both, 10*time.Second)
+	take(t, b, waiting)
+	if got := age(t, b); got < 10*time.Second {
+		t.Errorf("evidence is %s old after a suspension of 10 s", got)
+	}
+	// One exchange later it is fresh again.
+	a.Evidence.Read(a.elapsed)
+	send(t, b, a)
+	send(t, a, b)
+	if got := age(t, b); got > time.Second {
+		t.Errorf("evidence is %s old after an exchange", got)
+	}
+}
+
+// TestEvidenceNeedsTheVersion keeps an instance that lacks the newest version
+// from taking its peer's evidence for its own.
+func TestEvidenceNeedsTheVersion(t *testing.T) {
+	a, b := newNode(1), newNode(2)
+	a.SetRouting(&pb.Routing{Version: 4})
+	b.SetRouting(&pb.Routing{Version: 3})
+	a.Evidence.Read(a.elapsed)
+	send(t, b, a)
+	if h := send(t, a, b); !h.Behind {
+		t.Error("an instance with version 3 doesn't know that 4 is newer")
+	}
+	if _, ok := b.Evidence.Age(b.elapsed); ok {
+		t.Error("the evidence for version 4 counts for version 3")
+	}
+	if err := b.Adopt(start, a.Snapshot(start, 3, 0, 0)); err != nil {
+		t.Fatal(err)
+	}
+	send(t, b, a)
+	send(t, a, b)
+	age(t, b)
+}
+
+// TestEchoOfAnEarlierRun: a machine that lost power starts its clock anew, and an
+// echo of before would look fresh.
+func TestEchoOfAnEarlierRun(t *testing.T) {
+	a, b := newNode(1), newNode(2)
+	for _, n := range []*node{a, b} {
+		n.SetRouting(&pb.Routing{Version: 3})
+	}
+	a.Evidence.Read(a.elapsed)
+	send(t, b, a)
+	old := a.Compose(start, b.Self.Name)
+	again := newNode(2)
+	again.Run, again.elapsed = 99, b.elapsed
+	again.SetRouting(&pb.Routing{Version: 3})
+	take(t, again, old)
+	if _, ok := again.Evidence.Age(again.elapsed); ok {
+		t.Error("an echo of an earlier run counts as evidence")
+	}
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	n := newNode(1)
+	n.SetRouting(&pb.Routing{Version: 5})
+	if n.SetRouting(&pb.Routing{Version: 4}) || n.Table().Version != 5 {
+		t.Errorf("version %d is in force after 5 and 4", n.Table().Version)
+	}
+}
+
+func TestWorkOfOthersCounts(t *testing.T) {
+	a, b := newNode(1), newNode(2)
+	for _, n := range []*node{a, b} {
+		n.SetEndpoints(start, 1, []*crplace.Endpoint{endpoint(t, "llm-1")})
+	}
+	ask := crgrant.Ask{Service: crroute.Service{Name: "llm"}}
+	g := a.Grant(start, ask)
+	send(t, a, b)
+	if got := b.Grant(start, ask); got.InFlight != 1 {
+		t.Errorf("%d in flight by a peer's report, want 1", got.InFlight)
+	}
+	g.End(start, crhealth.Good)
+	send(t, a, b)
+	if got := b.Grant(start, ask); got.InFlight != 1 {
+		t.Errorf("%d in flight with one own request, want 1", got.InFlight)
+	}
+	// A silent instance's work lapses.
+	a.Grant(start, ask)
+	send(t, a, b)
+	if got := b.Grant(start.Add(5*time.Second), ask); got.InFlight != 2 {
+		t.Errorf("%d in flight after a peer's silence, want the two own ones", got.InFlight)
+	}
+}
+
+func TestValid(t *testing.T) {
+	n := newNode(1)
+	n.SetEndpoints(start, 1, []*crplace.Endpoint{endpoint(t, "llm-1")})
+	g := n.Grant(start, crgrant.Ask{Service: crroute.Service{Name: "llm"}})
+	if !g.Valid(start) {
+		t.Fatal("a new grant isn't valid")
+	}
+	n.SetOuts(2, []string{"noord-a"})
+	if g.Valid(start) {
+		t.Error("a grant is valid after its failure domain was taken out")
+	}
+	n.SetOuts(3, nil)
+	n.SetEndpoints(start, 3, nil)
+	if g.Valid(start) {
+		t.Error("a grant is valid after its endpoint has gone")
+	}
+}
+
+// TestContextsSurviveAll hands what endpoints hold to an instance that starts
+// after all have stopped.
+func TestContextsSurviveAll(t *testing.T) {
+	a, b := newNode(1), newNode(2)
+	var list []*crplace.Endpoint
+	for i := range 9 {
+		list = append(list, endpoint(t, fmt.Sprint("llm-", i)))
+	}
+	for _, n := range []*node{a, b} {
+		n.SetEndpoints(start, 1, list)
+	}
+	ask := crgrant.Ask{
+		Service: crroute.Service{Name: "llm", Engine: true},
+		Links:   crcontext.Chain("m", []crcontext.Part{{ID: "price-list", Tokens: 9000}, {ID: "own", Tokens: 10}}),
+	}
+	g := a.Grant(start, ask)
+	if got := len(a.Contexts(start).GetContexts()); got != 0 {
+		t.Errorf("%d contexts are kept before the endpoint has read them", got)
+	}
+	g.Read(start)
+	b.TakeContexts(start, a.Contexts(start))
+	if got := b.Grant(start, ask); got.Endpoint.Key != g.Endpoint.Key || got.Held != 9000 {
+		t.Errorf("placed at %s with %d tokens, want %s with 9000", got.Endpoint.ID, got.Held, g.Endpoint.ID)
+	}
+}
+
+// TestBrokenReadIsForgotten: an endpoint that broke off before its first event
+// holds nothing.
+func TestBrokenReadIsForgotten(t *testing.T) {
+	n := newNode(1)
+	n.SetEndpoints(start, 1, []*crplace.Endpoint{endpoint(t, "llm-1")})
+	ask := crgrant.Ask{
+		Service: crroute.Service{Name: "llm", Engine: true},
+		Links:   crcontext.Chain("m", []crcontext.Part{{ID: "price-list", Tokens: 9000}, {ID: "own", Tokens: 10}}),
+	}
+	n.Grant(start, ask).End(start, crhealth.Broken)
+	if got := n.Grant(start, ask); got.Reading > 0 || got.Held > 0 {
+		t.Errorf("held %d tokens, reading for %s", got.Held, got.Reading)
+	}
+}
+
+// TestRetriesStayInTheBudget lets seven instances repeat all they may for 30 s
+// of 20 requests a second each; in no ten seconds may they repeat more than the
+// users allow all of them together.
+func TestRetriesStayInTheBudget(t *testing.T) {
+	var nodes []*node
+	for i := range 7 {
+		nodes = append(nodes, newNode(i))
+	}
+	for _, a := range nodes {
+		for _, b := range nodes {
+			if a != b {
+				send(t, a, b)
+			}
+		}
+	}
+	var repeats []time.Time
+	now := start
+	for ; now.Before(start.Add(30 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		for _, n := range nodes {
+			for _, b := range nodes {
+				if b != n {
+					m := b.Compose(now, n.Self.Name)
+					if _, err := n.Receive(now, m); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			n.Request(now, "llm")
+			for n.Retry(now, "llm") {
+				repeats = append(repeats, now)
+			}
+		}
+	}
+	requests := 7 * 20 * 10.0
+	for i, at := range repeats {
+		count := 0
+		for _, other := range repeats[i:] {
+			if other.Sub(at) < 10*time.Second {
+				count++
+			}
+		}
+		if limit := 0.2*requests + 54; float64(count) > limit {
+			t.Fatalf("%d repeats in ten seconds from %s, the limit is %.0f", count, at.Sub(start), limit)
+		}
+	}
+	if len(repeats) < 100 {
+		t.Errorf("only %d repeats in 30 s", len(repeats))
+	}
+}
--- /dev/null
+++ b/core/crledger/ledger_test.go
@@ -0,0 +1,79 @@
+package crledger_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"crocusrack/core/crfuzz"
+	"crocusrack/core/crledger"
+)
+
+func TestMain(m *testing.M) { crfuzz.Main(m) }
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// TestLedger compares the sums with a plain count, while instances report and
+// lapse in any order.
+func TestLedger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l crledger.Ledger
+		own := map[crledger.Key]int{}
+		others := map[string]map[crledger.Key]int{}
+		heard := map[string]time.Time{}
+		now := start
+		key := func(t *rapid.T) crledger.Key { return crledger.Key(rapid.IntRange(1, 3).Draw(t, "endpoint")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				k := key(t)
+				l.Start(k)
+				own[k]++
+			},
+			"end": func(t *rapid.T) {
+				if k := key(t); own[k] > 0 {
+					l.End(k)
+					own[k]--
+				}
+			},
+			"report": func(t *rapid.T) {
+				name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "instance")
+				work := map[crledger.Key]int{key(t): rapid.IntRange(1, 4).Draw(t, "requests")}
+				l.Report(now, name, work)
+				others[name], heard[name] = work, now
+			},
+			"lapse": func(t *rapid.T) {
+				now = now.Add(time.Second)
+				since := now.Add(-2 * time.Second)
+				l.Lapse(since)
+				for name := range others {
+					if heard[name].Before(since) {
+						delete(others, name)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				for k := crledger.Key(1); k <= 3; k++ {
+					want := own[k]
+					for _, work := range others {
+						want += work[k]
+					}
+					if got := l.InFlight(k); got != want {
+						t.Fatalf("%d in flight at %d, want %d", got, k, want)
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestReads(t *testing.T) {
+	var r crledger.Reads
+	r.Add(start, 1, 450)
+	if got := r.Add(start, 1, 450).Sub(start); got != 20*time.Millisecond {
+		t.Errorf("900 tokens are read after %s, want 20ms", got)
+	}
+	if got := r.Backlog(start.Add(time.Second), 1); got != 0 {
+		t.Errorf("backlog of %s after a second", got)
+	}
+}
--- /dev/null
+++ b/core/crplace/place_test.go
@@ -0,0 +1,276 @@
+package crplace_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"crocusrack/core/crcontext"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crledger"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroster"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// world is one instance's tables with n endpoints of the service llm, three to
+// a failure domain.
+type world struct {
+	*crplace.Placer
+	endpoints []*crplace.Endpoint
+	out       map[string]bool
+}
+
+func newWorld(n int) *world {
+	w := &world{out: map[string]bool{}}
+	w.Placer = &crplace.Placer{
+		FailureDomain: "noord-a",
+		Work:          &crledger.Ledger{},
+		Contexts:      &crcontext.Table{},
+		Health:        &crhealth.Table{},
+		Reads:         &crledger.Reads{},
+		Cold:          func(*crplace.Endpoint, float64) bool { return false },
+		Out:           func(domain string) bool { return w.out[domain] },
+	}
+	for i := range n {
+		id := fmt.Sprint("llm-", i)
+		w.endpoints = append(w.endpoints, &crplace.Endpoint{
+			ID: id, Key: crplace.KeyOf(id, 1), Service: "llm", Slots: 64,
+			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+			FailureDomain: []string{"noord-a", "noord-b", "noord-c"}[i/3%3],
+		})
+	}
+	w.SetEndpoints(w.endpoints)
+	return w
+}
+
+func prompt(subject string, tokens int) []crcontext.Link {
+	return crcontext.Chain("m", []crcontext.Part{{ID: "system", Tokens: 500}, {ID: subject, Tokens: tokens}, {ID: "own", Tokens: 100}})
+}
+
+func (w *world) hold(k crledger.Key, links []crcontext.Link) {
+	for _, l := range links[:len(links)-1] {
+		w.Contexts.Note(start, l, true, k, time.Time{})
+	}
+}
+
+func TestHolderFirst(t *testing.T) {
+	w := newWorld(9)
+	links := prompt("price-list", 9000)
+	holder := w.endpoints[7]
+	w.hold(holder.Key, links)
+	c := w.Place(start, crplace.Ask{Service: "llm", Links: links})
+	if c.Endpoint != holder || c.Source != nil || c.Held != 9500 {
+		t.Errorf("chose %v with %d tokens, want the holder %s", c.Endpoint, c.Held, holder.ID)
+	}
+}
+
+func TestLoadedHolderGivesItsContext(t *testing.T) {
+	w := newWorld(9)
+	links := prompt("price-list", 9000)
+	holder := w.endpoints[7]
+	w.hold(holder.Key, links)
+	for range 9 {
+		w.Work.Start(holder.Key)
+	}
+	c := w.Place(start, crplace.Ask{Service: "llm", Links: links})
+	if c.Endpoint == holder || c.Source != holder {
+		t.Errorf("chose %s with a source %v, want another one with the context of %s", c.Endpoint.ID, c.Source, holder.ID)
+	}
+}
+
+func TestDrainingHolderGivesItsContext(t *testing.T) {
+	w := newWorld(9)
+	links := prompt("price-list", 9000)
+	w.hold(w.endpoints[7].Key, links)
+	w.endpoints[7].Draining = true
+	c := w.Place(start, crplace.Ask{Service: "llm", Links: links})
+	if c.Endpoint == w.endpoints[7] || c.Source != w.endpoints[7] {
+		t.Errorf("chose %s with a source %v", c.Endpoint.ID, c.Source)
+	}
+}
+
+func TestShortContextStaysInTheDomain(t *testing.T) {
+	w := newWorld(9)
+	links := prompt("reply", 100)
+	w.hold(w.endpoints[7].Key, links)
+	if c := w.Place(start, crplace.Ask{Service: "llm", Links: links}); c.Endpoint.FailureDomain != "noord-a" {
+		t.Errorf("a request with 600 tokens of context goes to %s", c.Endpoint.FailureDomain)
+	}
+}
+
+func TestWaitForAReadInProgress(t *testing.T) {
+	w := newWorld(9)
+	links := prompt("price-list", 9000)
+	for _, l := range links {
+		w.Contexts.Note(start, l, true, w.endpoints[2].Key, start.Add(200*time.Millisecond))
+	}
+	ask := crplace.Ask{Service: "llm", Links: links}
+	if c := w.Place(start, ask); c.Endpoint != nil || c.Reading != 200*time.Millisecond {
+		t.Errorf("got %v and a wait of %s, want a wait of 200ms", c.Endpoint, c.Reading)
+	}
+	ask.Hasty = true
+	if c := w.Place(start, ask); c.Endpoint == nil {
+		t.Errorf("a hasty request got nothing: %s", c.Reason)
+	}
+}
+
+func TestLeftOut(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(w *world)
+		want   crplace.Reason
+	}{
+		{"nothing", func(*world) {}, crplace.Chosen},
+		{"all drain", func(w *world) {
+			for _, e := range w.endpoints {
+				e.Draining = true
+			}
+		}, crplace.Absent},
+		{"domain out", func(w *world) { w.out["noord-a"] = true }, crplace.Absent},
+		{"all cold", func(w *world) {
+			for _, e := range w.endpoints {
+				e.ColdUntil = start.Add(time.Second)
+			}
+		}, crplace.Cold},
+		{"all full", func(w *world) {
+			for _, e := range w.endpoints {
+				for range 2 * e.Slots {
+					w.Work.Start(e.Key)
+				}
+			}
+		}, crplace.Busy},
+		{"one unreachable", func(w *world) { w.Health.Note(start, w.endpoints[0].Key, crhealth.Unreachable, 0) }, crplace.Chosen},
+		{"all unreachable", func(w *world) {
+			for _, e := range w.endpoints {
+				w.Health.Note(start, e.Key, crhealth.Unreachable, 0)
+			}
+		}, crplace.Chosen},
+	} {
+		w := newWorld(3)
+		c.change(w)
+		got := w.Place(start, crplace.Ask{Service: "llm", ColdPerSecond: 10})
+		if diff := cmp.Diff(c.want.String(), got.Reason.String()); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+		if c.name == "one unreachable" && got.Endpoint == w.endpoints[0] {
+			t.Error("the unreachable endpoint was chosen")
+		}
+	}
+}
+
+// TestBroadcastStaysBelowTheBound plays a broadcast: 150 requests a second of
+// 1.5 s at seven instances, a third of them with one subject, each instance
+// hearing of the others' work five times a second. No request may start at an
+// endpoint with more than twice the mean work and three.
+func TestBroadcastStaysBelowTheBound(t *testing.T) {
+	const instances, step = 7, 10 * time.Millisecond
+	random := rand.New(rand.NewPCG(1, 2))
+	var worlds []*world
+	for range instances {
+		worlds = append(worlds, newWorld(9))
+	}
+	type run struct {
+		end      time.Time
+		instance int
+		key      crledger.Key
+	}
+	var runs []run
+	started, over := 0, 0
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(step) {
+		kept := runs[:0]
+		for _, r := range runs {
+			if now.Before(r.end) {
+				kept = append(kept, r)
+				continue
+			}
+			worlds[r.instance].Work.End(r.key)
+		}
+		runs = kept
+		for i, w := range worlds {
+			if now.Sub(start)%(200*time.Millisecond) != time.Duration(i)*20*time.Millisecond {
+				continue
+			}
+			work := map[crledger.Key]int{}
+			for k, n := range w.Work.Own() {
+				work[k] = n
+			}
+			for j := range worlds {
+				if j != i {
+					worlds[j].Work.Report(now, fmt.Sprint(i), work)
+				}
+			}
+		}
+		for range 3 {
+			if random.IntN(2) == 0 {
+				continue
+			}
+			i := random.IntN(instances)
+			subject := fmt.Sprint("s-", random.IntN(30))
+			if random.IntN(3) == 0 {
+				subject = "broadcast"
+			}
+			links := prompt(subject, 5000)
+			c := worlds[i].Place(now, crplace.Ask{Service: "llm", Links: links, Hasty: true})
+			if c.Endpoint == nil {
+				continue
+			}
+			total, there := 0, 0
+			for _, r := range runs {
+				total++
+				if r.key == c.Endpoint.Key {
+					there++
+				}
+			}
+			started++
+			if float64(there) > 2*float64(total)/9+3 {
+				over++
+			}
+			worlds[i].Work.Start(c.Endpoint.Key)
+			for _, w := range worlds {
+				w.hold(c.Endpoint.Key, links)
+			}
+			runs = append(runs, run{now.Add(1500 * time.Millisecond), i, c.Endpoint.Key})
+		}
+	}
+	if started < 2500 {
+		t.Errorf("%d requests were started", started)
+	}
+	// The users allow 3 in 100.
+	if over*100 > 3*started {
+		t.Errorf("%d of %d requests started at an endpoint over the bound", over, started)
+	}
+}
+
+// TestColdEndpointBearsItsRate lets all instances of a fleet send to one cold
+// endpoint as fast as they may.
+func TestColdEndpointBearsItsRate(t *testing.T) {
+	for _, size := range []int{1, 7, 58} {
+		var gates []*crplace.ColdGate
+		for self := range size {
+			r := &crroster.Roster{Self: crroster.Instance{Name: fmt.Sprint(self)}}
+			for i := range size {
+				r.Report(start, crroster.Instance{Name: fmt.Sprint(i), Peer: netip.MustParseAddrPort("10.0.0.1:1")}, crroster.Status{Run: 1, Sequence: 1})
+			}
+			gates = append(gates, &crplace.ColdGate{Roster: r})
+		}
+		e := &crplace.Endpoint{Key: 5}
+		const perSecond = 10.0
+		var sent []time.Time
+		for now := start; now.Before(start.Add(800 * time.Millisecond)); now = now.Add(10 * time.Millisecond) {
+			for _, g := range gates {
+				if g.Admit(now, e, perSecond) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		if len(sent) == 0 || len(sent) > 1.5*perSecond+5 {
+			t.Errorf("%d instances sent %d requests in a second, want 1 to 20", size, len(sent))
+		}
+	}
+}
--- /dev/null
+++ b/core/crroster/roster_test.go
@@ -0,0 +1,122 @@
+package crroster_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"crocusrack/core/crroster"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func instance(i int) crroster.Instance {
+	domains := []string{"noord-a", "noord-b", "noord-c"}
+	a := netip.AddrFrom4([4]byte{10, 0, 0, byte(i)})
+	return crroster.Instance{
+		Name: fmt.Sprint("instance-", i), FailureDomain: domains[i%3],
+		Front: netip.AddrPortFrom(a, 80), Peer: netip.AddrPortFrom(a, 81),
+	}
+}
+
+// fleet returns the roster of instance 0 that has just heard of n others.
+func fleet(n int) *crroster.Roster {
+	r := &crroster.Roster{Self: instance(0), Status: crroster.Status{Ready: true}}
+	for i := 1; i <= n; i++ {
+		r.Report(start, instance(i), crroster.Status{Run: 1, Sequence: 1, Ready: true})
+	}
+	return r
+}
+
+func fronts(r *crroster.Roster, now time.Time, domain string) []string {
+	var list []string
+	for _, a := range r.Fronts(now, domain) {
+		list = append(list, a.Addr().String())
+	}
+	return list
+}
+
+func TestFronts(t *testing.T) {
+	r := fleet(6)
+	r.Report(start, instance(3), crroster.Status{Run: 1, Sequence: 2, Ready: true, Leaving: true})
+	r.Add(start, instance(9))
+	if diff := cmp.Diff([]string{"10.0.0.0", "10.0.0.6"}, fronts(r, start, "noord-a")); diff != "" {
+		t.Errorf("ready instances of noord-a (-want +got):\n%s", diff)
+	}
+	// All others have been silent for too long.
+	late := start.Add(crroster.SilentAfter)
+	if diff := cmp.Diff([]string{"10.0.0.0"}, fronts(r, late, "noord-b")); diff != "" {
+		t.Errorf("after silence (-want +got):\n%s", diff)
+	}
+	r.Status.Ready = false
+	if got := fronts(r, late, "noord-a"); len(got) > 0 {
+		t.Errorf("an instance that isn't ready names %v", got)
+	}
+}
+
+func TestOlderReportIsDropped(t *testing.T) {
+	r := fleet(1)
+	if r.Report(start, instance(1), crroster.Status{Run: 1, Sequence: 1}) {
+		t.Error("a report was taken twice")
+	}
+	if !r.Report(start, instance(1), crroster.Status{Run: 2, Sequence: 1}) {
+		t.Error("the first report of a new run was dropped")
+	}
+}
+
+func TestWatchersAreInDifferentDomains(t *testing.T) {
+	var rosters []*crroster.Roster
+	for self := range 7 {
+		r := &crroster.Roster{Self: instance(self)}
+		for i := range 7 {
+			r.Report(start, instance(i), crroster.Status{Run: 1, Sequence: 1, StoreLost: i == 2})
+		}
+		r.Status.StoreLost = self == 2
+		rosters = append(rosters, r)
+	}
+	domains := map[string]int{}
+	leaders := 0
+	for i, r := range rosters {
+		if r.Watches(start) {
+			domains[instance(i).FailureDomain]++
+			if i == 2 {
+				t.Error("an instance that can't reach the store watches it")
+			}
+		}
+		if r.Leads(start) {
+			leaders++
+		}
+	}
+	if len(domains) != 2 || leaders != 1 {
+		t.Errorf("watchers by domain %v and %d leaders, want two domains with one each and one leader", domains, leaders)
+	}
+}
+
+func TestChosenAgree(t *testing.T) {
+	chosen := 0
+	for self := range 7 {
+		r := &crroster.Roster{Self: instance(self)}
+		for i := range 7 {
+			r.Report(start, instance(i), crroster.Status{Run: 1, Sequence: 1})
+		}
+		if r.Chosen(start, 42, 3) {
+			chosen++
+		}
+	}
+	if chosen != 3 {
+		t.Errorf("%d instances take themselves for chosen, want 3", chosen)
+	}
+}
+
+func TestSilentInstanceIsForgotten(t *testing.T) {
+	r := fleet(2)
+	if got := len(r.Targets(start.Add(20 * time.Second))); got != 2 {
+		t.Errorf("%d targets after 20 s, want 2: a frozen instance wakes", got)
+	}
+	if got := len(r.Targets(start.Add(time.Minute))); got != 0 {
+		t.Errorf("%d targets after a minute, want none", got)
+	}
+}
--- /dev/null
+++ b/core/crroute/route_test.go
@@ -0,0 +1,83 @@
+package crroute_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"crocusrack/core/crroute"
+	pb "crocusrack/schema/crrouter"
+)
+
+func routing() *pb.Routing {
+	priority := uint32(0)
+	return &pb.Routing{
+		Version: 7,
+		Routes: []*pb.Route{
+			{Name: "all", Host: "desk.example", Prefix: "/", Kind: pb.Kind_KIND_IDEMPOTENT, Shares: []*pb.Share{{Service: "app", Weight: 1}}},
+			{Name: "draft", Host: "desk.example", Prefix: "/draft/", Kind: pb.Kind_KIND_STREAM, Resumable: true, MaxAttempts: 2,
+				Timeout: durationpb.New(12 * time.Second), Shares: []*pb.Share{{Service: "llm", Weight: 9}, {Service: "llm-next", Weight: 1}}},
+			{Name: "release", Host: "desk.example", Prefix: "/draft/release/", Kind: pb.Kind_KIND_ONCE, Shares: []*pb.Share{{Service: "app", Weight: 1}}},
+		},
+		Services: []*pb.Service{{Name: "llm", Engine: true, ColdPerSecond: 10}},
+		Accounts: []*pb.Account{{Name: "buyer", Keys: []string{"k1", "k2"}, Priority: &priority}},
+	}
+}
+
+func TestRoute(t *testing.T) {
+	table := crroute.New(routing())
+	for _, c := range []struct{ host, path, want string }{
+		{"desk.example", "/draft/a", "draft"},
+		{"desk.example", "/draft/release/1", "release"},
+		{"DESK.example:8080", "/draft/", "draft"},
+		{"desk.example", "/draft", "all"},
+		{"other.example", "/draft/a", ""},
+	} {
+		got := ""
+		if r := table.Route(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s%s (-want +got):\n%s", c.host, c.path, diff)
+		}
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	r := crroute.New(routing()).Route("desk.example", "/draft/a")
+	count := map[string]int{}
+	for i := range 10000 {
+		id := fmt.Sprint("request-", i)
+		if r.Service(id) != r.Service(id) {
+			t.Fatal("a request changes its service")
+		}
+		count[r.Service(id)]++
+	}
+	if n := count["llm-next"]; n < 900 || n > 1100 {
+		t.Errorf("a share of 1 in 10 got %d of 10000", n)
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	table := crroute.New(routing())
+	got := map[string]bool{}
+	for _, path := range []string{"/x", "/draft/a", "/draft/release/1"} {
+		got[path] = table.Route("desk.example", path).Repeatable()
+	}
+	if diff := cmp.Diff(map[string]bool{"/x": true, "/draft/a": true, "/draft/release/1": false}, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestAccount(t *testing.T) {
+	table := crroute.New(routing())
+	if a := table.Account("k2"); a == nil || a.Name != "buyer" || !a.HasPriority {
+		t.Errorf("key k2 belongs to %v", a)
+	}
+	if a := table.Account(""); a != nil {
+		t.Errorf("no key belongs to %v", a)
+	}
+}
--- /dev/null
+++ b/core/crstream/stream_test.go
@@ -0,0 +1,57 @@
+package crstream_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"crocusrack/core/crstream"
+)
+
+const three = "id: 1\ndata: a\n\nid: 2\nx-weight: 3\ndata: b\n\nid: 3\ndata: c\n\n"
+
+// TestSplit cuts a stream at every place. What comes out are whole events, and
+// the last id is that of the last of them.
+func TestSplit(t *testing.T) {
+	ends := map[int]uint64{0: 0, 15: 1, 42: 2, len(three): 3}
+	for at := range len(three) + 1 {
+		var s crstream.Splitter
+		out := s.Write([]byte(three[:at]))
+		id, ok := s.Last()
+		want, whole := ends[len(out)]
+		if !whole || id != want || ok != (want > 0) {
+			t.Fatalf("cut at %d: %d bytes and id %d", at, len(out), id)
+		}
+		out = append(out, s.Write([]byte(three[at:]))...)
+		if diff := cmp.Diff(three, string(out)); diff != "" {
+			t.Fatalf("cut at %d (-want +got):\n%s", at, diff)
+		}
+	}
+}
+
+func TestRest(t *testing.T) {
+	var s crstream.Splitter
+	s.Write([]byte("id: 7\ndata: a\n\nid: 8\nda"))
+	if got := string(s.Rest()); got != "id: 8\nda" {
+		t.Errorf("rest %q", got)
+	}
+	if id, _ := s.Last(); id != 7 {
+		t.Errorf("last id %d, want 7", id)
+	}
+}
+
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte(three), 5)
+	f.Add([]byte("id:9\r\n\r\n"), 1)
+	f.Fuzz(func(t *testing.T, stream []byte, at int) {
+		if at < 0 || at > len(stream) {
+			return
+		}
+		var s crstream.Splitter
+		out := append(s.Write(stream[:at]), s.Write(stream[at:])...)
+		if got := append(out, s.Rest()...); !bytes.Equal(got, stream) {
+			t.Errorf("%q came out as %q", stream, got)
+		}
+	})
+}
--- /dev/null
+++ b/io/crforward/forward_test.go
@@ -0,0 +1,462 @@
+package crforward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroster"
+	"crocusrack/io/crforward"
+	"crocusrack/io/crhop"
+	"crocusrack/stand/crnet"
+
+	pb "crocusrack/schema/crrouter"
+)
+
+var front = netip.MustParseAddrPort("10.0.0.1:80")
+
+// codec is a dialect for tests.
+var codec = crforward.Codec{
+	Decode: func(r *http.Request) (crforward.Request, error) {
+		h := crforward.EndToEnd(r.Header)
+		h.Del("Key")
+		return crforward.Request{ID: r.Header.Get("Id"), Header: h, Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last")}, nil
+	},
+	Encode: func(h http.Header, a crforward.Attempt) {
+		h.Set("Account", a.Account)
+		h.Set("Last", a.LastEvent)
+	},
+	Echoed: func(_ int, h http.Header, id string) bool { return h.Get("Id") == id },
+	NotRun: func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
+}
+
+// rig is an instance before endpoints, all in one bubble.
+type rig struct {
+	t       *testing.T
+	net     *crnet.Network
+	state   *crgrant.State
+	closing bool
+	client  *http.Client
+	elapsed time.Duration
+
+	// stopped gets the times at which endpoints noticed that a caller left.
+	stopped chan time.Time
+
+	mu sync.Mutex
+	// arrivals are the requests that endpoints got, as "endpoint id last".
+	arrivals []string
+}
+
+// play runs a body with endpoints 1, 2, … that are served by the handlers.
+func play(t *testing.T, body func(r *rig), handlers ...http.HandlerFunc) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{t: t, net: &crnet.Network{Delay: func(_, _ string) time.Duration { return 4 * time.Millisecond }}}
+		r.stopped = make(chan time.Time, 9)
+		r.net.AddHost("caller", "callers", netip.MustParseAddr("10.9.0.1"))
+		r.net.AddHost("entry", "noord-a", front.Addr())
+		begin := time.Now()
+		r.state = &crgrant.State{
+			Self:    crroster.Instance{Name: "entry", FailureDomain: "noord-a", Front: front, Peer: front},
+			Retries: crgrant.RetryLimit{Share: 0.2, Slack: 60, Window: 10 * time.Second},
+			Elapsed: func() time.Duration { return time.Since(begin) + r.elapsed },
+		}
+		var list []*crplace.Endpoint
+		for i, h := range handlers {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 80)
+			r.net.AddHost(fmt.Sprint("endpoint-", i+1), "noord-b", address.Addr())
+			server, err := r.net.Serve(address, r.endpoint(i+1, h))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer server.Close()
+			e, err := crgrant.NewEndpoint(begin, &pb.Endpoint{
+				Id: fmt.Sprint("e", i+1), Service: "app", Address: address.String(), FailureDomain: "noord-b", Slots: 8,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			list = append(list, e)
+		}
+		r.state.SetEndpoints(begin, 1, list)
+		r.state.SetRouting(testRouting())
+		r.state.Evidence.Read(0)
+		hop := &crhop.Client{Dial: r.net.Dial("entry")}
+		defer hop.CloseIdle()
+		server, err := r.net.Serve(front, &crforward.Forwarder{
+			State: r.state, Hop: hop, Codec: codec, Log: zap.NewNop(), Metrics: &crforward.Metrics{},
+			MaxKeyAge: 4 * time.Second, Closing: func() bool { return r.closing },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer server.Close()
+		r.client = &http.Client{Transport: &http.Transport{DialContext: r.net.Dial("caller"), DisableCompression: true}}
+		defer r.client.CloseIdleConnections()
+		body(r)
+	})
+}
+
+func testRouting() *pb.Routing {
+	route := func(name string, kind pb.Kind, resumable bool) *pb.Route {
+		return &pb.Route{
+			Name: name, Host: "desk.example", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, MaxAttempts: 2,
+			Timeout: durationpb.New(10 * time.Second), Target: durationpb.New(100 * time.Millisecond),
+			Shares: []*pb.Share{{Service: "app", Weight: 1}},
+		}
+	}
+	return &pb.Routing{
+		Version: 1,
+		Routes: []*pb.Route{
+			route("read", pb.Kind_KIND_IDEMPOTENT, false), route("book", pb.Kind_KIND_ONCE, false),
+			route("draft", pb.Kind_KIND_STREAM, true), route("reply", pb.Kind_KIND_STREAM, false),
+		},
+		Services: []*pb.Service{{Name: "app"}},
+		Accounts: []*pb.Account{{Name: "buyer", Keys: []string{"k"}}},
+		Limits:   &pb.Limits{BodyBytes: 1000},
+	}
+}
+
+func (r *rig) endpoint(i int, h http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.mu.Lock()
+		r.arrivals = append(r.arrivals, strings.TrimSpace(fmt.Sprintf("e%d %s %s", i, q.Header.Get("Id"), q.Header.Get("Last"))))
+		r.mu.Unlock()
+		w.Header().Set("Id", q.Header.Get("Id"))
+		h(w, q)
+	})
+}
+
+func (r *rig) arrived() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.arrivals)
+}
+
+// answer is what a caller got; cut is true when its body didn't end properly.
+type answer struct {
+	Status int
+	Body   string
+	Cut    bool
+}
+
+func (r *rig) send(ctx context.Context, path, body string, header ...string) (answer, http.Header) {
+	r.t.Helper()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front.String()+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	q.Host = "desk.example"
+	q.Header = http.Header{"Id": {"q"}, "Key": {"k"}}
+	for i := 0; i < len(header); i += 2 {
+		q.Header.Set(header[i], header[i+1])
+	}
+	a, err := r.client.Do(q)
+	if err != nil {
+		return answer{Cut: true}, nil
+	}
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	return answer{a.StatusCode, string(data), err != nil}, a.Header
+}
+
+func good(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+func fail(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+func cut(http.ResponseWriter, *http.Request)      { panic(http.ErrAbortHandler) }
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+func foreign(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Id", "another")
+	_, _ = io.WriteString(w, "another's answer")
+}
+
+// events returns an endpoint that sends events from one after the last that the
+// caller has, up to an event, and then ends or breaks off inside the next.
+func events(to int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		from := 0
+		_, _ = fmt.Sscan(q.Header.Get("Last"), &from)
+		for i := from + 1; i <= to; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+		if !whole {
+			fmt.Fprintf(w, "id: %d\nda", to+1)
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func text(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// TestOutcomes gives what a caller gets when all endpoints behave in one way,
+// and how often the request arrives at them.
+func TestOutcomes(t *testing.T) {
+	unavailable := http.StatusServiceUnavailable
+	for _, c := range []struct {
+		name     string
+		path     string
+		endpoint http.HandlerFunc
+		want     answer
+		arrivals int
+	}{
+		{"read answered", "/read/", good, answer{200, "ok", false}, 1},
+		{"read fails everywhere", "/read/", fail, answer{500, "", false}, 2},
+		{"read cut everywhere", "/read/", cut, answer{502, "answer-lost\n", false}, 2},
+		{"read answered with another's answer", "/read/", foreign, answer{502, "answer-lost\n", false}, 2},
+		{"read shed everywhere", "/read/", shed, answer{unavailable, "endpoints-refused\n", false}, 2},
+		{"book answered", "/book/", good, answer{200, "ok", false}, 1},
+		{"book fails", "/book/", fail, answer{500, "", false}, 1},
+		{"book cut", "/book/", cut, answer{502, "answer-lost\n", false}, 1},
+		{"book answered with another's answer", "/book/", foreign, answer{502, "answer-lost\n", false}, 1},
+		{"book shed everywhere", "/book/", shed, answer{unavailable, "endpoints-refused\n", false}, 2},
+		{"draft whole", "/draft/", events(3, true), answer{200, text(1, 3), false}, 1},
+		{"draft without an event", "/draft/", events(0, true), answer{200, "", false}, 1},
+		{"reply breaks off", "/reply/", events(2, false), answer{200, text(1, 2), true}, 1},
+		{"reply cut before its first event", "/reply/", cut, answer{502, "answer-lost\n", false}, 1},
+		{"no route", "/none/", good, answer{404, "no-route\n", false}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, func(r *rig) {
+				got, header := r.send(r.t.Context(), c.path, "")
+				if diff := cmp.Diff(c.want, got); diff != "" {
+					t.Errorf("(-want +got):\n%s", diff)
+				}
+				if got.Status == unavailable && header.Get("Retry-After") == "" {
+					t.Error("a refusal doesn't say when to come back")
+				}
+				if r.arrived() != c.arrivals {
+					t.Errorf("the request arrived at %v, want %d arrivals", r.arrivals, c.arrivals)
+				}
+			}, c.endpoint, c.endpoint, c.endpoint)
+		})
+	}
+}
+
+// TestResume breaks a stream in the middle of an event. The caller gets each
+// event once and in order, inside one answer.
+func TestResume(t *testing.T) {
+	first := true
+	broken, whole := events(3, false), events(6, true)
+	either := func(w http.ResponseWriter, q *http.Request) {
+		if first {
+			first = false
+			broken(w, q)
+			return
+		}
+		whole(w, q)
+	}
+	play(t, func(r *rig) {
+		got, _ := r.send(r.t.Context(), "/draft/", "")
+		if diff := cmp.Diff(answer{200, text(1, 6), false}, got); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+		if len(r.arrivals) != 2 || !strings.HasSuffix(r.arrivals[1], "q 3") {
+			t.Errorf("arrivals %q, want a second one after event 3", r.arrivals)
+		}
+	}, either, either)
+}
+
+// TestResumeOfACaller goes on after the event that the caller names, also when
+// the stream breaks before a further one.
+func TestResumeOfACaller(t *testing.T) {
+	play(t, func(r *rig) {
+		got, _ := r.send(r.t.Context(), "/draft/", "", "Last", "4")
+		if diff := cmp.Diff(answer{200, text(5, 6), false}, got); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	}, events(6, true))
+}
+
+// TestStalledStreamGoesOnElsewhere: an endpoint falls silent in a stream, and
+// takes no connections any more.
+func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+	first := true
+	whole := events(6, true)
+	either := func(w http.ResponseWriter, q *http.Request) {
+		if !first {
+			whole(w, q)
+			return
+		}
+		first = false
+		fmt.Fprint(w, text(1, 2))
+		_ = http.NewResponseController(w).Flush()
+		<-q.Context().Done()
+	}
+	play(t, func(r *rig) {
+		got, _ := r.send(r.t.Context(), "/draft/", "")
+		if diff := cmp.Diff(answer{200, text(1, 6), false}, got); diff != "" {
+			t.Errorf("(-want +got):\n%s", diff)
+		}
+	}, either, either)
+}
+
+// TestCallerLeaves: within half a second no endpoint works for a caller that has
+// left.
+func TestCallerLeaves(t *testing.T) {
+	for _, path := range []string{"/read/", "/draft/", "/reply/", "/book/"} {
+		t.Run(path, func(t *testing.T) {
+			var rigged *rig
+			play(t, func(r *rig) {
+				rigged = r
+				ctx, cancel := context.WithCancelCause(r.t.Context())
+				go func() {
+					time.Sleep(100 * time.Millisecond)
+					cancel(errors.New("left"))
+				}()
+				left := time.Now().Add(100 * time.Millisecond)
+				r.send(ctx, path, "")
+				if late := (<-r.stopped).Sub(left); late > 500*time.Millisecond {
+					t.Errorf("the endpoint worked for another %s", late)
+				}
+				time.Sleep(2 * time.Second)
+				if r.arrived() != 1 {
+					t.Errorf("arrivals %q after the caller has left", r.arrivals)
+				}
+			}, func(_ http.ResponseWriter, q *http.Request) {
+				<-q.Context().Done()
+				rigged.stopped <- time.Now()
+			})
+		})
+	}
+}
+
+// TestSilentEndpoint: an idempotent request is answered by another endpoint; one
+// that may not be repeated ends at its timeout, and says so.
+func TestSilentEndpoint(t *testing.T) {
+	silent := func(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
+	for _, c := range []struct {
+		path string
+		want int
+		most time.Duration
+	}{
+		{"/read/", 504, 10 * time.Second},
+		{"/book/", 504, 10 * time.Second},
+	} {
+		play(t, func(r *rig) {
+			begin := time.Now()
+			got, _ := r.send(r.t.Context(), c.path, "")
+			if got.Status != c.want || time.Since(begin) > c.most {
+				t.Errorf("%s: status %d after %s", c.path, got.Status, time.Since(begin))
+			}
+		}, silent, silent)
+	}
+	first := true
+	play(t, func(r *rig) {
+		begin := time.Now()
+		got, _ := r.send(r.t.Context(), "/read/", "")
+		if got.Status != 200 || time.Since(begin) > 500*time.Millisecond {
+			t.Errorf("status %d after %s, want an answer of the other endpoint", got.Status, time.Since(begin))
+		}
+	}, func(w http.ResponseWriter, q *http.Request) {
+		if first {
+			first = false
+			<-q.Context().Done()
+			return
+		}
+		good(w, q)
+	}, good)
+}
+
+// TestKeys: a key is believed only while the routing is fresh, also on an
+// instance that was suspended.
+func TestKeys(t *testing.T) {
+	play(t, func(r *rig) {
+		for _, c := range []struct {
+			name   string
+			change func()
+			key    string
+			want   int
+		}{
+			{"known", func() {}, "k", 200},
+			{"unknown", func() {}, "x", 401},
+			{"known, suspended for 10 s", func() { r.elapsed = 10 * time.Second }, "k", 503},
+			{"unknown, suspended for 10 s", func() {}, "x", 503},
+			{"fresh again", func() { r.state.Evidence.Read(r.state.Elapsed()) }, "k", 200},
+			{"taken away", func() {
+				r.state.SetRouting(&pb.Routing{
+					Version: 2, Routes: testRouting().Routes, Accounts: []*pb.Account{{Name: "other", Keys: []string{"y"}}},
+				})
+			}, "k", 401},
+		} {
+			c.change()
+			if got, _ := r.send(r.t.Context(), "/read/", "", "Key", c.key); got.Status != c.want {
+				t.Errorf("%s: status %d, want %d", c.name, got.Status, c.want)
+			}
+		}
+	}, good)
+}
+
+func TestKeyIsNotPassedOn(t *testing.T) {
+	play(t, func(r *rig) {
+		r.send(r.t.Context(), "/read/", "", "Account", "forged")
+	}, func(w http.ResponseWriter, q *http.Request) {
+		if got := q.Header.Get("Account"); got != "buyer" {
+			t.Errorf("account %q, want buyer", got)
+		}
+		if got := q.Header.Get("Key"); got != "" {
+			t.Errorf("the endpoint got the key %q", got)
+		}
+		good(w, q)
+	})
+}
+
+func TestBodies(t *testing.T) {
+	play(t, func(r *rig) {
+		if got, _ := r.send(r.t.Context(), "/book/", strings.Repeat("x", 1001)); got.Status != http.StatusRequestEntityTooLarge {
+			t.Errorf("a body over the limit got %d", got.Status)
+		}
+		if got, _ := r.send(r.t.Context(), "/book/", strings.Repeat("x", 1000)); got.Status != 200 || got.Body != "1000" {
+			t.Errorf("a body of the limit got %d and %s bytes arrived", got.Status, got.Body)
+		}
+	}, func(w http.ResponseWriter, q *http.Request) {
+		data, err := io.ReadAll(q.Body)
+		if err != nil {
+			t.Error(err)
+		}
+		fmt.Fprint(w, len(data))
+	})
+}
+
+// TestNoRoutingYet: an instance that has just started refuses, so that callers
+// come back; it doesn't say that a route is missing.
+func TestNoRoutingYet(t *testing.T) {
+	f := &crforward.Forwarder{
+		State: &crgrant.State{Elapsed: func() time.Duration { return 0 }}, Codec: codec, Log: zap.NewNop(),
+		Metrics: &crforward.Metrics{}, Closing: func() bool { return false },
+	}
+	var pair crnet.Pair
+	pair.Start(f)
+	defer pair.Stop()
+	a, err := pair.HTTP.Get(pair.URL + "/read/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Body.Close()
+	if a.StatusCode != http.StatusServiceUnavailable || a.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", a.StatusCode, a.Header.Get("Retry-After"))
+	}
+}
--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -78,7 +77,7 @@
 // abort resets the connection. What the endpoint hasn't got is discarded: it
 // would else arrive when a link is whole again.
 func (k *conn) abort() {
-	if t, ok := k.Conn.(*net.TCPConn); ok {
+	if t, ok := k.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		// A connection that can't be reset is closed all the same.
 		_ = t.SetLinger(0)
 	}
--- /dev/null
+++ b/io/crwatch/watch_test.go
@@ -0,0 +1,269 @@
+package crwatch_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroster"
+	"crocusrack/io/crwatch"
+	pb "crocusrack/schema/crrouter"
+)
+
+var errDown = errors.New("the store is down")
+
+// store is a store of endpoints and one routing.
+type store struct {
+	mu        sync.Mutex
+	down      bool
+	revision  uint64
+	endpoints map[string]*pb.Endpoint
+	routing   *pb.Routing
+	calls     int
+	kept      []byte
+}
+
+func (s *store) do(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	f()
+}
+
+// feed returns a feed whose watches return the whole state when it has changed.
+func feed[T any](s *store, all func() []crwatch.Change[T]) crwatch.Feed[T] {
+	list := func(context.Context) ([]crwatch.Change[T], uint64, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calls++
+		if s.down {
+			return nil, 0, errDown
+		}
+		return all(), s.revision, nil
+	}
+	return crwatch.Feed[T]{
+		List: list,
+		Watch: func(ctx context.Context, after uint64, wait time.Duration) ([]crwatch.Change[T], uint64, error) {
+			for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				s.mu.Lock()
+				changed, down := s.revision > after, s.down
+				s.mu.Unlock()
+				if changed || down {
+					break
+				}
+			}
+			changes, at, err := list(ctx)
+			if at <= after {
+				changes = nil
+			}
+			return changes, at, err
+		},
+	}
+}
+
+func (s *store) watcher(state *crgrant.State) *crwatch.Watcher {
+	return &crwatch.Watcher{
+		State: state,
+		Routing: feed(s, func() []crwatch.Change[pb.Routing] {
+			return []crwatch.Change[pb.Routing]{{Name: "main", Value: s.routing}}
+		}),
+		Endpoints: feed(s, func() []crwatch.Change[pb.Endpoint] {
+			var list []crwatch.Change[pb.Endpoint]
+			for _, name := range []string{"llm-1", "llm-2", "llm-3"} {
+				e := s.endpoints[name]
+				list = append(list, crwatch.Change[pb.Endpoint]{Name: name, Removed: e == nil, Value: e})
+			}
+			return list
+		}),
+		Outs:      feed(s, func() []crwatch.Change[struct{}] { return nil }),
+		Instances: feed(s, func() []crwatch.Change[crroster.Instance] { return nil }),
+		Register:  func(context.Context, crroster.Instance) error { return nil },
+		Contexts: crwatch.Checkpoint{
+			Save: func(_ context.Context, data []byte) error { s.kept = data; return nil },
+			Load: func(context.Context) ([]byte, error) { return s.kept, nil },
+		},
+		Log:     zap.NewNop(),
+		Changed: func() {},
+	}
+}
+
+func newStore(names ...string) *store {
+	s := &store{revision: 1, routing: &pb.Routing{Version: 3}, endpoints: map[string]*pb.Endpoint{}}
+	for _, name := range names {
+		s.endpoints[name] = &pb.Endpoint{Id: name, Service: "llm", Address: "10.0.1.1:80", FailureDomain: "noord-a", Slots: 64}
+	}
+	return s
+}
+
+func newState() *crgrant.State {
+	begin := time.Now()
+	return &crgrant.State{
+		Self: crroster.Instance{
+			Name: "instance-1", FailureDomain: "noord-a",
+			Front: netip.MustParseAddrPort("10.0.0.1:80"), Peer: netip.MustParseAddrPort("10.0.0.1:81"),
+		},
+		Retries: crgrant.RetryLimit{Window: 10 * time.Second},
+		Elapsed: func() time.Duration { return time.Since(begin) },
+	}
+}
+
+// run runs a watcher in a bubble until the body returns.
+func run(t *testing.T, s *store, body func(state *crgrant.State)) {
+	synctest.Test(t, func(t *testing.T) {
+		state := newState()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.watcher(state).Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		body(state)
+	})
+}
+
+func endpoints(state *crgrant.State) []string {
+	var names []string
+	for _, e := range state.Dump(time.Now()).Endpoints {
+		names = append(names, e.ID)
+	}
+	return names
+}
+
+func TestFollow(t *testing.T) {
+	s := newStore("llm-1", "llm-2")
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(2 * time.Second)
+		if state.Table() == nil || state.Table().Version != 3 {
+			t.Fatal("the routing isn't in force")
+		}
+		if diff := cmp.Diff([]string{"llm-1", "llm-2"}, endpoints(state)); diff != "" {
+			t.Errorf("endpoints (-want +got):\n%s", diff)
+		}
+		s.do(func() {
+			s.routing = &pb.Routing{Version: 8}
+			delete(s.endpoints, "llm-1")
+		})
+		time.Sleep(time.Second)
+		if got := state.Table().Version; got != 8 {
+			t.Errorf("version %d is in force a second after 8", got)
+		}
+		if diff := cmp.Diff([]string{"llm-2"}, endpoints(state)); diff != "" {
+			t.Errorf("endpoints after one has gone (-want +got):\n%s", diff)
+		}
+		if age, _ := state.Evidence.Age(state.Elapsed()); age > 2200*time.Millisecond {
+			t.Errorf("evidence of a watcher is %s old", age)
+		}
+	})
+}
+
+// TestLapsedEntriesAreKeptForAWhile: entries may lapse in an outage although
+// their endpoints live.
+func TestLapsedEntriesAreKeptForAWhile(t *testing.T) {
+	s := newStore("llm-1", "llm-2", "llm-3")
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(2 * time.Second)
+		all := s.endpoints
+		s.do(func() { s.down = true })
+		time.Sleep(6 * time.Second)
+		s.do(func() {
+			s.down = false
+			s.endpoints = map[string]*pb.Endpoint{}
+		})
+		time.Sleep(1500 * time.Millisecond)
+		if got := len(endpoints(state)); got != 3 {
+			t.Errorf("%d endpoints in force soon after an outage, want 3", got)
+		}
+		s.do(func() { s.endpoints = map[string]*pb.Endpoint{"llm-1": all["llm-1"]} })
+		time.Sleep(5 * time.Second)
+		if diff := cmp.Diff([]string{"llm-1"}, endpoints(state)); diff != "" {
+			t.Errorf("endpoints once the store has settled (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestOldListIsNotBroughtBack: an instance watched, lost the store, and let
+// others watch. They saw an endpoint leave. When it watches again, that endpoint
+// must stay away.
+func TestOldListIsNotBroughtBack(t *testing.T) {
+	s := newStore("llm-1", "llm-2")
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(2 * time.Second)
+		s.do(func() { s.down = true })
+		time.Sleep(4 * time.Second)
+		// Two others take the watch. They reach the store.
+		others := func(span time.Duration) {
+			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				for _, name := range []string{"instance-2", "instance-3"} {
+					report(t, state, name)
+				}
+			}
+		}
+		others(time.Second)
+		s.do(func() { delete(s.endpoints, "llm-1") })
+		if !state.SetEndpoints(time.Now(), s.revision, left(t)) {
+			t.Fatal("the others' endpoints weren't adopted")
+		}
+		others(8 * time.Second)
+		s.do(func() { s.down = false })
+		// Now they fall silent, and this instance watches.
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if diff := cmp.Diff([]string{"llm-2"}, endpoints(state)); diff != "" {
+				t.Fatalf("endpoints of the watcher (-want +got):\n%s", diff)
+			}
+		}
+	})
+}
+
+// left returns the endpoints without the one that has left.
+func left(t *testing.T) []*crplace.Endpoint {
+	t.Helper()
+	e, err := crgrant.NewEndpoint(time.Now(), newStore("llm-2").endpoints["llm-2"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return []*crplace.Endpoint{e}
+}
+
+// report lets another instance, which reaches the store, report to the state.
+func report(t *testing.T, state *crgrant.State, name string) {
+	t.Helper()
+	m := state.Compose(time.Now(), "")
+	from := &pb.Peer{Name: name, FailureDomain: "noord-b", Front: "10.0.0.2:80", Peer: "10.0.0.2:81"}
+	_, err := state.Receive(time.Now(), &pb.Report{
+		From: from, Run: 7, Sequence: m.GetSequence(), Ready: true, RoutingVersion: 3,
+		RoutingAge: durationpb.New(0), Echo: m.GetStamp(), EchoRun: state.Run,
+		EndpointsRevision: m.GetEndpointsRevision(), OutsRevision: m.GetOutsRevision(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOutageMakesFewCalls bounds the calls of one instance to a store that is
+// down: they are priced, and a fleet makes them all.
+func TestOutageMakesFewCalls(t *testing.T) {
+	s := newStore("llm-1")
+	run(t, s, func(*crgrant.State) {
+		time.Sleep(2 * time.Second)
+		s.do(func() { s.down = true; s.calls = 0 })
+		time.Sleep(10 * time.Second)
+		if s.calls > 40 {
+			t.Errorf("%d calls in an outage of ten seconds", s.calls)
+		}
+	})
+}
