Count only what was sent as an attempt, and use the last endpoint with room

A request was refused as all-busy while an endpoint had room, because that had more than the bound over a mean to which unusable endpoints count.

Change: attempts are requests that an endpoint may have got. The bound puts an endpoint last; it refuses nothing.

Figures: TestResumePastAnUnreachableEndpoint and TestLastEndpointIsUsed fail before.

--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -212,17 +212,22 @@
 		return Choice{Reason: Absent, RetryAfter: absentRetry}
 	}
 	mean := p.mean(a.Service)
-	warm := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return c.cold || c.full(mean) })
-	if len(warm) > 0 {
-		return p.finish(a, held, p.best(now, a, warm), mean)
+	warm := without(list, func(c candidate) bool { return c.cold || c.full() })
+	if under := without(warm, func(c candidate) bool { return c.over(mean) }); len(under) > 0 {
+		return p.finish(a, held, p.best(now, a, under), mean)
 	}
-	cold := slices.DeleteFunc(slices.Clone(list), func(c candidate) bool { return !c.cold || c.full(mean) })
+	cold := without(list, func(c candidate) bool { return !c.cold || c.full() || c.over(mean) })
 	slices.SortFunc(cold, byWork)
 	for _, c := range cold {
 		if p.Cold(c.Endpoint, a.ColdPerSecond) {
 			return p.finish(a, held, c, mean)
 		}
 	}
+	if len(warm) > 0 {
+		// Those below the bound may not be used. The bound is no reason to
+		// refuse what these have room for.
+		return p.finish(a, held, slices.MinFunc(warm, byWork), mean)
+	}
 	reason := Busy
 	if len(cold) > 0 {
 		reason = Cold
@@ -230,6 +235,10 @@
 	return Choice{Reason: reason, Mean: mean, RetryAfter: busyRetry}
 }
 
+func without(list []candidate, drop func(candidate) bool) []candidate {
+	return slices.DeleteFunc(slices.Clone(list), drop)
+}
+
 // reading returns how long to wait for an endpoint that reads more of the prompt
 // than any endpoint holds.
 func (p *Placer) reading(now time.Time, a Ask, held map[crledger.Key]int) time.Duration {
@@ -286,10 +295,11 @@
 	return float64(sum) / float64(max(count, 1))
 }
 
-func (c candidate) full(mean float64) bool {
-	if float64(c.work) >= boundFactor*mean+boundSlack {
-		return true
-	}
+// over reports whether an endpoint has more work than the bound.
+func (c candidate) over(mean float64) bool { return float64(c.work) >= boundFactor*mean+boundSlack }
+
+// full reports whether an endpoint has no room for one more request.
+func (c candidate) full() bool {
 	return c.Slots > 0 && float64(c.work) >= float64(c.Slots)*(1+queueShare)
 }
 
--- a/core/crplace/place_test.go
+++ b/core/crplace/place_test.go
@@ -164,6 +164,20 @@
 	}
 }
 
+// TestLastEndpointIsUsed: eight of nine endpoints may not be used. The last one
+// has room, though it has far more work than the mean.
+func TestLastEndpointIsUsed(t *testing.T) {
+	w := newWorld(9)
+	w.out["noord-b"], w.out["noord-c"] = true, true
+	w.endpoints[0].Draining, w.endpoints[1].Draining = true, true
+	for range 20 {
+		w.Work.Start(w.endpoints[2].Key)
+	}
+	if c := w.Place(start, crplace.Ask{Service: "llm"}); c.Endpoint != w.endpoints[2] {
+		t.Errorf("no endpoint: %s", c.Reason)
+	}
+}
+
 // TestBroadcastStaysBelowTheBound plays a broadcast: 150 requests a second of
 // 1.5 s at seven instances, a third of them with one subject, each instance
 // hearing of the others' work five times a second. No request may start at an
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -128,6 +128,8 @@
 	table    *crroute.Table
 	age      time.Duration
 	aged     bool
+	// sent is how many endpoints may have got the request.
+	sent int
 
 	trace trace
 }
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -53,6 +53,7 @@
 	client  *http.Client
 	elapsed time.Duration
 
+	servers []*http.Server
 	// stopped gets the times at which endpoints noticed that a caller left.
 	stopped chan time.Time
 
@@ -83,6 +84,7 @@
 				t.Fatal(err)
 			}
 			defer server.Close()
+			r.servers = append(r.servers, server)
 			e, err := crgrant.NewEndpoint(begin, &pb.Endpoint{
 				Id: fmt.Sprint("e", i+1), Service: "app", Address: address.String(), FailureDomain: "noord-b", Slots: 8,
 			})
@@ -280,6 +282,35 @@
 	}, either, either)
 }
 
+// TestResumePastAnUnreachableEndpoint breaks a stream when another endpoint takes
+// no connections. A connection that wasn't opened is no attempt: the stream goes
+// on at the third endpoint, whichever is asked first.
+func TestResumePastAnUnreachableEndpoint(t *testing.T) {
+	broken, whole := events(3, false), events(6, true)
+	for range 8 {
+		var rigged *rig
+		first := true
+		handler := func(i int) http.HandlerFunc {
+			return func(w http.ResponseWriter, q *http.Request) {
+				if !first {
+					whole(w, q)
+					return
+				}
+				first = false
+				rigged.servers[(i+1)%3].Close()
+				broken(w, q)
+			}
+		}
+		play(t, func(r *rig) {
+			rigged = r
+			got, _ := r.send(r.t.Context(), "/draft/", "")
+			if diff := cmp.Diff(answer{200, text(1, 6), false}, got); diff != "" {
+				t.Errorf("(-want +got):\n%s", diff)
+			}
+		}, handler(0), handler(1), handler(2))
+	}
+}
+
 // TestResumeOfACaller goes on after the event that the caller names, also when
 // the stream breaks before a further one.
 func TestResumeOfACaller(t *testing.T) {
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -38,13 +38,13 @@
 	unsent := 0
 	// failure is the last answer of an endpoint that was one of failure.
 	var failure *whole
-	for sent := 0; ; {
-		if sent > 0 && !x.mayRepeat(sent) {
+	for {
+		if x.sent > 0 && !x.mayRepeat() {
 			break
 		}
 		grant := x.grant(ctx, tried)
 		if grant.Endpoint == nil {
-			if sent == 0 {
+			if x.sent == 0 {
 				x.refuse(grant.Reason.String(), grant.RetryAfter)
 				return
 			}
@@ -65,23 +65,20 @@
 			if unsent++; unsent < maxUnsent {
 				continue
 			}
-			if sent == 0 {
+			if x.sent == 0 {
 				x.refuse("endpoints-unreachable", firstRetry)
 				return
 			}
 		case notRun:
-			sent++
 			x.trace.notRun++
 			continue
 		case failed:
-			sent++
 			x.trace.mayHaveRun = true
 			failure = result.answer
 			if x.route.Kind == crroute.Idempotent {
 				continue
 			}
 		case unknown:
-			sent++
 			x.trace.mayHaveRun = true
 			if x.route.Repeatable() {
 				continue
@@ -119,8 +116,8 @@
 }
 
 // mayRepeat reports whether a request that was sent may be sent once more.
-func (x *exchange) mayRepeat(sent int) bool {
-	return sent < x.route.MaxAttempts && time.Until(x.deadline) > 0 && x.State.Retry(time.Now(), x.service.Name)
+func (x *exchange) mayRepeat() bool {
+	return x.sent < x.route.MaxAttempts && time.Until(x.deadline) > 0 && x.State.Retry(time.Now(), x.service.Name)
 }
 
 // giveUp answers a request that was sent and has no success.
@@ -193,7 +190,7 @@
 // limit bounds the wait for the answer of a request that another endpoint can
 // still answer in time.
 func (x *exchange) limit(ctx context.Context) (context.Context, context.CancelFunc) {
-	if x.route.Kind != crroute.Idempotent || x.trace.attempts > 1 || x.route.MaxAttempts < 2 {
+	if x.route.Kind != crroute.Idempotent || x.sent > 0 || x.route.MaxAttempts < 2 {
 		return context.WithCancel(ctx)
 	}
 	silence := time.Duration(silenceTargets * float64(x.route.Target))
@@ -216,7 +213,7 @@
 		attempt.Source = g.Source.Address
 	}
 	x.Codec.Encode(header, attempt)
-	return x.Hop.Send(ctx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, &crhop.Request{
+	answer, err := x.Hop.Send(ctx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, &crhop.Request{
 		Method: x.incoming.Method,
 		Target: x.incoming.RequestURI,
 		Host:   x.incoming.Host,
@@ -225,6 +222,11 @@
 		Once:   !x.route.Repeatable(),
 		Echoed: func(status int, h http.Header) bool { return x.Codec.Echoed(status, h, x.request.ID) },
 	})
+	var failure *crhop.Error
+	if !errors.As(err, &failure) || failure.Sent {
+		x.sent++
+	}
+	return answer, err
 }
 
 // end ends a grant and logs when its endpoint was put out of use.
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -76,7 +76,7 @@
 	if !x.route.Resumable {
 		return nil, nil
 	}
-	for x.mayRepeat(x.trace.attempts) {
+	for unsent := 0; unsent < maxUnsent && x.mayRepeat(); unsent++ {
 		g := x.grant(ctx, *tried)
 		if g.Endpoint == nil {
 			return nil, nil
