--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -21,9 +21,9 @@
 	wholeBody = 256 << 10
 	// silenceTargets is after how many times its target a plain idempotent
 	// request is sent to another endpoint.
-	silenceTargets = 0.5
+	silenceTargets = 2.5
 	// minSilence is the least wait before that.
-	minSilence = 50 * time.Millisecond
+	minSilence = 250 * time.Millisecond
 	// maxUnsent bounds the endpoints that a request is tried at without being
 	// sent.
 	maxUnsent = 3
