Let the holders of a subject share its requests

Change: among endpoints that hold about the same, those with up to 1.2 times the mean work go first, and then chance decides.

--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -35,6 +35,13 @@
 	bearableBacklog = 300 * time.Millisecond
 	// backlogStep is the difference of backlogs that decides between equals.
 	backlogStep = 60 * time.Millisecond
+	// worthStep is the difference of contexts that decides, in tokens: less is
+	// read within some milliseconds.
+	worthStep = 256
+	// usualFactor and usualSlack tell the work above which another holder goes
+	// first.
+	usualFactor = 1.2
+	usualSlack  = 1.0
 	// queueShare is how many requests may wait at an endpoint, as a share of
 	// its slots.
 	queueShare = 1.0
@@ -214,7 +221,7 @@
 	mean := p.mean(a.Service)
 	warm := without(list, func(c candidate) bool { return c.cold || c.full() })
 	if under := without(warm, func(c candidate) bool { return c.over(mean) }); len(under) > 0 {
-		return p.finish(a, held, p.best(now, a, under), mean)
+		return p.finish(a, held, p.best(now, a, under, mean), mean)
 	}
 	cold := without(list, func(c candidate) bool { return !c.cold || c.full() || c.over(mean) })
 	slices.SortFunc(cold, byWork)
@@ -306,7 +313,7 @@
 func byWork(a, b candidate) int { return cmp.Compare(a.work, b.work) }
 
 // best chooses among endpoints that may all be taken.
-func (p *Placer) best(now time.Time, a Ask, list []candidate) candidate {
+func (p *Placer) best(now time.Time, a Ask, list []candidate, mean float64) candidate {
 	if len(a.Links) == 0 {
 		return p.leastLoaded(a, list)
 	}
@@ -314,17 +321,39 @@
 	for i := range list {
 		list[i].backlog = p.Reads.Backlog(now, list[i].Key)
 	}
+	usual := usualFactor*mean + usualSlack
 	// Instances that place the same new subject at the same moment agree on
-	// the endpoint, since it follows from the subject.
+	// the endpoint, since it follows from the subject. Where several hold it,
+	// they share the requests: what each knows of the others' work is old, and
+	// all would take the same one.
+	last := func(c candidate) uint64 {
+		if c.held > 0 {
+			return crhash.Mix(a.Random, uint64(c.Key))
+		}
+		return crhash.Mix(subject, uint64(c.Key))
+	}
 	return slices.MaxFunc(list, func(x, y candidate) int {
 		return cmp.Or(
-			cmp.Compare(p.worth(x), p.worth(y)),
+			cmp.Compare(p.worth(x)/worthStep, p.worth(y)/worthStep),
+			compareBool(float64(x.work) <= usual, float64(y.work) <= usual),
 			cmp.Compare(y.backlog/backlogStep, x.backlog/backlogStep),
-			cmp.Compare(crhash.Mix(subject, uint64(x.Key)), crhash.Mix(subject, uint64(y.Key))),
+			cmp.Compare(last(x), last(y)),
 		)
 	})
 }
 
+// compareBool orders false before true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case x:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // worth returns the context that an endpoint holds, in tokens. One in the own
 // failure domain may hold less: what it lacks comes from another endpoint, while
 // a request to another domain crosses both ways. One that still reads long
--- a/core/crplace/place_test.go
+++ b/core/crplace/place_test.go
@@ -178,6 +178,26 @@
 	}
 }
 
+// TestHoldersShareASubject: 58 instances that know nothing of each other's work
+// place a request of one subject each, which three endpoints hold.
+func TestHoldersShareASubject(t *testing.T) {
+	links := prompt("broadcast", 9000)
+	count := map[string]int{}
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 58 {
+		w := newWorld(9)
+		for _, e := range w.endpoints[3:6] {
+			w.hold(e.Key, links)
+		}
+		count[w.Place(start, crplace.Ask{Service: "llm", Links: links, Random: random.Uint64()}).Endpoint.ID]++
+	}
+	for _, e := range []string{"llm-3", "llm-4", "llm-5"} {
+		if n := count[e]; n < 10 || n > 30 {
+			t.Errorf("%s got %d of 58 requests, want about a third", e, n)
+		}
+	}
+}
+
 // TestBroadcastStaysBelowTheBound plays a broadcast: 150 requests a second of
 // 1.5 s at seven instances, a third of them with one subject, each instance
 // hearing of the others' work five times a second. No request may start at an
