Add a fault soak that runs real daemons as processes

Cause: the users ask for a soak of our own, with faults from outside the processes.

Change: crocusstand soak starts daemons, a store, servers and callers on loopback, puts proxies between daemons and both, and carries out a plan drawn from a seed: signals, links, store, servers, versions and keys, in series and overlapping.

--- a/stand/crcommand/command.go
+++ b/stand/crcommand/command.go
@@ -41,6 +41,7 @@
 		{name: "platform", Summary: platformSummary, Example: platformExample, Setup: setupPlatform},
 		{name: "service", Summary: serviceSummary, Example: serviceExample, Setup: setupService},
 		{name: "slopes", Summary: slopesSummary, Example: slopesExample, Setup: setupSlopes},
+		{name: "soak", Summary: soakSummary, Example: soakExample, Setup: setupSoak},
 	}
 }
 
--- /dev/null
+++ b/stand/crsoak/world.go
@@ -0,0 +1,241 @@
+package crsoak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	crstandin "crocusrack/platform/standin"
+)
+
+// world is the platform around the daemons, and the daemons.
+type world struct {
+	store   crstandin.Store
+	record  crstandin.Record
+	servers []*server
+	daemons []*daemon
+	address netip.AddrPort
+	closers []func()
+
+	mu      sync.Mutex
+	version int
+	// taken is when the store acknowledged that a key was taken away.
+	taken map[string]time.Time
+}
+
+// server is a server behind a link of its own.
+type server struct {
+	name   string
+	domain string
+	link   *proxy
+
+	mu     sync.Mutex
+	random *rand.Rand
+	served *crstandin.Server
+	http   *http.Server
+	born   time.Time
+}
+
+// domains are the failure domains of a soak.
+var domains = []string{"noord-a", "noord-b", "noord-c"}
+
+// listen opens a listener at an address of this process's own: another soak on
+// the machine can't take a port between its choice and its use.
+func listen() (net.Listener, error) {
+	id := os.Getpid()
+	own := netip.AddrFrom4([4]byte{127, byte(1 + id>>14), byte(id >> 7 & 0x7f), byte(1 + id&0x7f)})
+	return net.Listen("tcp4", netip.AddrPortFrom(own, 0).String())
+}
+
+func freeAddress() (netip.AddrPort, error) {
+	l, err := listen()
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// build starts the store and the servers, and prepares the daemons.
+func build(o Options) (*world, error) {
+	w := &world{taken: make(map[string]time.Time)}
+	l, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	w.address = l.Addr().(*net.TCPAddr).AddrPort()
+	store := &http.Server{Handler: &w.store}
+	go store.Serve(l)
+	w.closers = append(w.closers, func() { store.Close() })
+	for i := range o.Servers {
+		s := &server{name: fmt.Sprint("server-", i), domain: domains[i%len(domains)], random: rand.New(rand.NewPCG(o.Seed, uint64(i)+2))}
+		if err := s.start(w); err != nil {
+			return w, err
+		}
+		w.servers = append(w.servers, s)
+		w.closers = append(w.closers, s.close)
+	}
+	var seeds []string
+	for i := range o.Daemons {
+		d := &daemon{name: fmt.Sprint("daemon-", i), domain: domains[i%len(domains)], program: o.Program}
+		var failed [4]error
+		d.front, failed[0] = freeAddress()
+		d.dir, failed[1] = freeAddress()
+		d.peer, failed[2] = freeAddress()
+		d.store, failed[3] = newProxy(w.address)
+		if err := errors.Join(failed[:]...); err != nil {
+			return w, err
+		}
+		w.daemons = append(w.daemons, d)
+		w.closers = append(w.closers, d.store.close)
+		if i < 3 {
+			seeds = append(seeds, d.peer.String())
+		}
+	}
+	if err := w.change(); err != nil {
+		return w, err
+	}
+	for _, d := range w.daemons {
+		if err := errors.Join(d.configure(o.Folder, seeds), d.start()); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) close() error {
+	var failed []error
+	for _, d := range w.daemons {
+		failed = append(failed, d.stop())
+	}
+	for _, c := range w.closers {
+		c()
+	}
+	return errors.Join(failed...)
+}
+
+// start begins a new life of the server, with a new id.
+func (s *server) start(w *world) error {
+	l, err := listen()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.born = time.Now()
+	s.served = &crstandin.Server{
+		ID: fmt.Sprint(s.name, "-", s.born.UnixMicro()), Record: &w.record, Work: serverWork, Random: s.random,
+	}
+	s.http = &http.Server{Handler: s.served}
+	go s.http.Serve(l)
+	s.mu.Unlock()
+	link, err := newProxy(l.Addr().(*net.TCPAddr).AddrPort())
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.link = link
+	s.mu.Unlock()
+	return s.enter(w, false)
+}
+
+// enter writes the server's entry.
+func (s *server) enter(w *world, draining bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return w.store.Put(crstandin.KindServers, s.served.ID, crstandin.Entry(s.link.address(), s.domain, s.born, draining))
+}
+
+func (s *server) close() {
+	s.mu.Lock()
+	link, server := s.link, s.http
+	s.mu.Unlock()
+	server.Close()
+	link.close()
+}
+
+// crash ends the server at once and starts it anew after a while. Its entry goes
+// as it lapses.
+func (s *server) crash(w *world, after time.Duration) error {
+	s.mu.Lock()
+	id := s.served.ID
+	s.mu.Unlock()
+	s.close()
+	time.Sleep(after / 2)
+	w.store.Delete(crstandin.KindServers, id)
+	time.Sleep(after / 2)
+	return s.start(w)
+}
+
+// drain lets the server leave in order, and starts it anew.
+func (s *server) drain(w *world) error {
+	if err := s.enter(w, true); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	id := s.served.ID
+	s.mu.Unlock()
+	time.Sleep(drainTime)
+	w.store.Delete(crstandin.KindServers, id)
+	s.close()
+	return s.start(w)
+}
+
+// keyOf returns the key of an account in a generation.
+func keyOf(account, generation int) string { return fmt.Sprintf("key-%d-%d", account, generation) }
+
+// accounts is how many client accounts a soak has.
+const accounts = 4
+
+// change writes a new version. Each account has the keys that weren't taken.
+func (w *world) change() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 3
+	return w.write()
+}
+
+func (w *world) write() error {
+	keys := make(map[string][]string)
+	for a := range accounts {
+		name := fmt.Sprint("account-", a)
+		for g := range generations {
+			if _, gone := w.taken[keyOf(a, g)]; !gone {
+				keys[name] = append(keys[name], keyOf(a, g))
+			}
+		}
+	}
+	return w.store.Put(crstandin.KindRouting, crstandin.RoutingName, crstandin.Routing(w.version, keys))
+}
+
+// generations is how many keys each account has; all but the last may be taken.
+const generations = 6
+
+// take takes a key away.
+func (w *world) take(target int) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	key := keyOf(target%accounts, target/accounts%(generations-1))
+	if _, gone := w.taken[key]; gone {
+		return nil
+	}
+	// It is marked before the write; the time is that of the acknowledgement.
+	w.taken[key] = time.Now()
+	w.version += 3
+	err := w.write()
+	w.taken[key] = time.Now()
+	return err
+}
+
+// takenAt returns when a key was taken away.
+func (w *world) takenAt(key string) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.taken[key]
+	return at, ok
+}
