Tell of a context once, and again after ten seconds

Cause: each request told all instances in two or three reports what its endpoint holds, though most were told so a moment before.

Change: a holder is told of when it is new, when it has read what it was reading, and again after 10 s of use.

--- a/core/crcontext/context.go
+++ b/core/crcontext/context.go
@@ -70,8 +70,14 @@
 	// readingUntil is when the endpoint has read the chain at the latest; the
 	// zero time once it has.
 	readingUntil time.Time
+	// told is when other instances were told of the holder as it is.
+	told time.Time
 }
 
+// tellAgain is the time after which a holder that is still of use is told of
+// again, for those that missed it.
+const tellAgain = 10 * time.Second
+
 type chain struct {
 	holders []holder
 	tokens  int
@@ -106,6 +112,9 @@
 	for i := range c.holders {
 		if h := &c.holders[i]; h.endpoint == endpoint {
 			if !h.readingUntil.IsZero() || now.Sub(h.used) >= lifetime {
+				if h.readingUntil != readingUntil {
+					h.told = time.Time{}
+				}
 				h.readingUntil = readingUntil
 			}
 			h.used = now
@@ -115,7 +124,7 @@
 			oldest = i
 		}
 	}
-	n := holder{endpoint, now, readingUntil}
+	n := holder{endpoint: endpoint, used: now, readingUntil: readingUntil}
 	if len(c.holders) >= maxHolders {
 		c.holders[oldest] = n
 		return
@@ -123,6 +132,23 @@
 	c.holders = append(c.holders, n)
 }
 
+// Tell reports whether other instances are to be told that an endpoint holds a
+// chain, or has read it, and takes it for told.
+func (t *Table) Tell(now time.Time, hash uint64, endpoint crledger.Key) bool {
+	c, ok := t.chains.Get(hash)
+	if !ok {
+		return false
+	}
+	for i := range c.holders {
+		h := &c.holders[i]
+		if h.endpoint == endpoint && (h.told.IsZero() || now.Sub(h.told) >= tellAgain) {
+			h.told = now
+			return true
+		}
+	}
+	return false
+}
+
 // Forget drops an endpoint from the holders of a chain: it broke off before it
 // had read it.
 func (t *Table) Forget(l Link, endpoint crledger.Key) {
--- a/core/crcontext/context_test.go
+++ b/core/crcontext/context_test.go
@@ -97,3 +97,18 @@
 		}
 	}
 }
+
+func TestTellOnce(t *testing.T) {
+	var table crcontext.Table
+	shared := first[1]
+	tell := func(after time.Duration) bool { return table.Tell(start.Add(after), shared.Chain, 1) }
+	table.Note(start, shared, true, 1, start.Add(time.Second))
+	got := []bool{tell(0), tell(0)}
+	table.Note(start, shared, true, 1, time.Time{})
+	got = append(got, tell(time.Second), tell(2*time.Second))
+	table.Note(start, shared, true, 1, time.Time{})
+	got = append(got, tell(3*time.Second), tell(20*time.Second))
+	if diff := cmp.Diff([]bool{true, false, true, false, false, true}, got); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
+}
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -189,6 +189,9 @@
 		s.contexts.Note(now, l, i <= last, k, until)
 	}
 	shared := links[last]
+	if !s.contexts.Tell(now, shared.Chain, k) {
+		return
+	}
 	m := &pb.Context{Chain: shared.Chain, Endpoint: uint64(k), Tokens: uint32(shared.Tokens)}
 	if !until.IsZero() {
 		m.Reading = durationpb.New(until.Sub(now))
