Exchange digests between failure domains in large fleets

Cause: with 58 instances reports to all take some 40 % of the bytes that cross failure domains, and with 300 they can't be sent at all: their pause grew past the silence after which an instance is taken for lost.

Change: in fleets of more than 16 instances those of a failure domain report to each other, and one of them, the relay, exchanges a digest of its domain with the relays of the others each 0.4 s. Silence is judged by the pause that is kept.

Figures: tests without sockets: 51 instances cross domains with less than a fifth of the bytes of reports to all; the loss of a relay makes no live instance look lost.

--- /dev/null
+++ b/core/crgrant/digest_test.go
@@ -0,0 +1,200 @@
+package crgrant_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"crocusrack/core/crcontext"
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroute"
+	pb "crocusrack/schema/crrouter"
+)
+
+// fleet is instances in three failure domains that exchange reports as crlink
+// does, each 200 ms, with a digest each 400 ms. Messages arrive at once.
+type fleet struct {
+	t     *testing.T
+	now   time.Time
+	nodes map[string]*node
+	names []string
+	down  map[string]bool
+	// crossing counts the bytes between failure domains.
+	crossing int
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{t: t, now: start, nodes: map[string]*node{}, down: map[string]bool{}}
+	var list []*crplace.Endpoint
+	for i := range 9 {
+		list = append(list, endpoint(t, fmt.Sprint("llm-", i)))
+	}
+	for i := range size {
+		n := newNode(i)
+		n.Self.FailureDomain = []string{"noord-a", "noord-b", "noord-c"}[i%3]
+		n.SetEndpoints(start, 1, list)
+		n.SetRouting(&pb.Routing{Version: 3})
+		f.nodes[n.Self.Name] = n
+		f.names = append(f.names, n.Self.Name)
+	}
+	first := f.nodes[f.names[0]]
+	for _, name := range f.names {
+		first.Add(f.now, f.nodes[name].Self)
+		f.nodes[name].Add(f.now, first.Self)
+	}
+	return f
+}
+
+func (f *fleet) deliver(from, to string, m *pb.Report) {
+	f.t.Helper()
+	sender, receiver := f.nodes[from], f.nodes[to]
+	if receiver == nil || f.down[to] {
+		return
+	}
+	if sender.Self.FailureDomain != receiver.Self.FailureDomain {
+		f.crossing += proto.Size(m)
+	}
+	h, err := receiver.Receive(f.now, proto.CloneOf(m))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if h.Forward != nil {
+		for _, i := range receiver.Targets(f.now) {
+			f.deliver(to, i.Name, h.Forward)
+		}
+	}
+	if h.New {
+		reply := receiver.Compose(f.now, from)
+		receiver.Introduce(f.now, reply)
+		f.deliver(to, from, reply)
+	}
+}
+
+// run lets the fleet exchange reports for a time.
+func (f *fleet) run(d time.Duration) {
+	f.t.Helper()
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(200 * time.Millisecond) {
+		for _, n := range f.nodes {
+			n.elapsed += 200 * time.Millisecond
+		}
+		for _, name := range f.names {
+			n := f.nodes[name]
+			if f.down[name] {
+				continue
+			}
+			for _, i := range n.Targets(f.now) {
+				f.deliver(name, i.Name, n.Compose(f.now, i.Name))
+			}
+			if f.now.Sub(start)%crgrant.DigestInterval != 0 {
+				continue
+			}
+			targets, digest := n.Digests(f.now), n.Digest(f.now)
+			for _, i := range targets {
+				m := n.Compose(f.now, i.Name)
+				m.Work, m.Contexts, m.Unreachable, m.Digest = nil, nil, nil, digest
+				f.deliver(name, i.Name, m)
+			}
+		}
+	}
+}
+
+// relays returns the instances that take themselves for relays.
+func (f *fleet) relays() []string {
+	var list []string
+	for _, name := range f.names {
+		if !f.down[name] && len(f.nodes[name].Digests(f.now)) > 0 {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// TestDomainsExchangeDigests: in a large fleet each instance knows all others,
+// their work and their contexts, though only relays talk across domains.
+func TestDomainsExchangeDigests(t *testing.T) {
+	f := newFleet(t, 30)
+	f.run(4 * time.Second)
+	if got := len(f.relays()); got != 3 {
+		t.Errorf("%d relays in three failure domains: %v", got, f.relays())
+	}
+	for _, name := range f.names {
+		if got := len(f.nodes[name].Alive(f.now)); got != 29 {
+			t.Errorf("%s knows %d others, want 29", name, got)
+		}
+	}
+	ask := crgrant.Ask{
+		Service: crroute.Service{Name: "llm", Engine: true},
+		Links:   crcontext.Chain("m", []crcontext.Part{{ID: "price-list", Tokens: 9000}, {ID: "own", Tokens: 10}}),
+	}
+	g := f.nodes["instance-4"].Grant(f.now, ask)
+	g.Read(f.now)
+	f.run(1200 * time.Millisecond)
+	for _, name := range []string{"instance-3", "instance-5", "instance-7"} {
+		got := f.nodes[name].Grant(f.now, ask)
+		if got.Endpoint.Key != g.Endpoint.Key || got.Held != 9000 || got.InFlight != 1 {
+			t.Errorf("%s places at %s with %d tokens and %d in flight, want %s, 9000 and 1",
+				name, got.Endpoint.ID, got.Held, got.InFlight, g.Endpoint.ID)
+		}
+		got.Drop(f.now)
+	}
+}
+
+// TestRelayIsReplaced: when the relay of a domain dies, another takes over, and no
+// live instance is taken for lost meanwhile.
+func TestRelayIsReplaced(t *testing.T) {
+	f := newFleet(t, 30)
+	f.run(4 * time.Second)
+	dead := f.relays()[0]
+	f.down[dead] = true
+	for range 20 {
+		f.run(200 * time.Millisecond)
+		for _, name := range f.names {
+			if !f.down[name] && len(f.nodes[name].Alive(f.now)) < 28 {
+				t.Fatalf("%s knows %d others %s after the loss of one of 30", name, len(f.nodes[name].Alive(f.now)), f.now.Sub(start)-4*time.Second)
+			}
+		}
+	}
+	for _, name := range f.names {
+		if got := len(f.nodes[name].Alive(f.now)); !f.down[name] && got != 28 {
+			t.Errorf("%s knows %d others, want 28", name, got)
+		}
+	}
+	if got := len(f.relays()); got != 3 {
+		t.Errorf("relays %v", f.relays())
+	}
+}
+
+// TestEvidenceCrossesDomains: one instance reads the store; the others' evidence
+// stays younger than what sends them to the store by themselves.
+func TestEvidenceCrossesDomains(t *testing.T) {
+	f := newFleet(t, 30)
+	f.run(4 * time.Second)
+	reader := f.nodes["instance-8"]
+	for range 10 {
+		reader.Evidence.Read(reader.elapsed)
+		f.run(600 * time.Millisecond)
+	}
+	for _, name := range f.names {
+		if got := age(t, f.nodes[name]); got > 2300*time.Millisecond {
+			t.Errorf("evidence of %s is %s old", name, got)
+		}
+	}
+}
+
+// TestCrossingBytes measures what crosses failure domains in a second.
+func TestCrossingBytes(t *testing.T) {
+	perSecond := func(size int) int {
+		f := newFleet(t, size)
+		f.run(4 * time.Second)
+		f.crossing = 0
+		f.run(4 * time.Second)
+		return f.crossing / 4
+	}
+	// Reports to all would take 1,700 times 5 in a second at 51 instances.
+	if all, digests := 1700*5*150, perSecond(51); digests*5 > all {
+		t.Errorf("%d bytes a second cross domains, want less than a fifth of %d", digests, all)
+	}
+}
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -95,12 +95,16 @@
 	})
 }
 
+// workLapse is how long the work that an instance or a domain reported counts
+// after its last report.
+const workLapse = 2 * time.Second
+
 // lock locks the state for a call at a time.
 func (s *State) lock(now time.Time) {
 	s.init()
 	s.mu.Lock()
 	s.now = now
-	s.work.Lapse(now.Add(-crroster.SilentAfter))
+	s.work.Lapse(now.Add(-workLapse))
 }
 
 // Table returns the routing in force, or nil before the first one.
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -35,6 +35,9 @@
 	sequence uint64
 	recent   []recentContext
 	peers    map[string]*echo
+	// relayed are contexts that instances of the own domain told, for the
+	// digests of a relay.
+	relayed []recentContext
 }
 
 type recentContext struct {
@@ -117,7 +120,9 @@
 // Introduce returns the report with all instances that this one knows, for one
 // that has just started.
 func (s *State) Introduce(now time.Time, m *pb.Report) {
-	for _, i := range s.Targets(now) {
+	s.lock(now)
+	defer s.mu.Unlock()
+	for _, i := range s.roster.Known() {
 		m.Peers = append(m.Peers, peerProto(i))
 	}
 }
@@ -129,6 +134,9 @@
 	New bool
 	// Behind is true when the sender has something newer.
 	Behind bool
+	// Forward is the digest of another domain, to be sent to all instances of
+	// the own one; nil when there is none.
+	Forward *pb.Report
 }
 
 // Receive takes a report in.
@@ -139,6 +147,14 @@
 	}
 	s.lock(now)
 	defer s.mu.Unlock()
+	if m.Digest != nil && m.GetDigest().GetFailureDomain() != s.Self.FailureDomain {
+		if err := s.takeDigest(now, m.GetDigest()); err != nil {
+			return Heard{}, fmt.Errorf("digest of %s: %w", from.Name, err)
+		}
+	}
+	if m.GetForwarded() {
+		return Heard{From: from}, nil
+	}
 	for _, p := range m.GetPeers() {
 		i, err := peerFromProto(p)
 		if err != nil {
@@ -157,8 +173,16 @@
 		return Heard{From: from}, nil
 	}
 	s.takeEcho(from.Name, m)
-	s.takeWork(now, from.Name, m)
-	return Heard{From: from, New: !known, Behind: s.behind(m)}, nil
+	h := Heard{From: from, New: !known, Behind: s.behind(m)}
+	if m.Digest == nil {
+		s.takeWork(now, from.Name, m)
+		return h, nil
+	}
+	s.roster.Relay(from.Name)
+	if s.roster.Relays(now) {
+		h.Forward = &pb.Report{From: m.GetFrom(), Digest: m.GetDigest(), Forwarded: true}
+	}
+	return h, nil
 }
 
 // takeEcho keeps the sender's stamp and, if our routing is as new, its
@@ -186,6 +210,7 @@
 	s.work.Report(now, name, work)
 	for _, c := range m.GetContexts() {
 		s.takeContext(now, c)
+		s.reports.relay(now, c)
 	}
 	for _, k := range m.GetUnreachable() {
 		s.health.Heard(now, crledger.Key(k))
--- a/core/crledger/ledger.go
+++ b/core/crledger/ledger.go
@@ -79,6 +79,24 @@
 	}
 }
 
+// Sums returns this instance's work and that of the others whose reports are
+// wanted.
+func (l *Ledger) Sums(want func(instance string) bool) map[Key]int {
+	sums := make(map[Key]int)
+	for k, n := range l.own {
+		sums[k] += n
+	}
+	for name, r := range l.others {
+		if !want(name) {
+			continue
+		}
+		for k, n := range r.work {
+			sums[k] += n
+		}
+	}
+	return sums
+}
+
 // InFlight returns the requests at an endpoint, of all instances.
 func (l *Ledger) InFlight(k Key) int { return l.sums[k] }
 
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -19,6 +19,19 @@
 	// SilentAfter is when a silent instance is taken for lost: callers aren't
 	// told of it, and another takes its duties.
 	SilentAfter = 900 * time.Millisecond
+	// reportInterval is the pause between reports to fewTargets targets.
+	reportInterval = 200 * time.Millisecond
+	fewTargets     = 24
+	// missedReports is how many reports of an instance get lost before it is
+	// taken for lost.
+	missedReports = 4.5
+	// relayedAfter is the same for instances that are heard of through a relay:
+	// two relays fall silent and are replaced in it.
+	relayedAfter = 2500 * time.Millisecond
+	// smallFleet is the most instances that all report to each other. In larger
+	// fleets the instances of a failure domain do, and one of them exchanges
+	// digests with the other domains.
+	smallFleet = 16
 	// forgetAfter is when a silent instance isn't sent reports any more.
 	forgetAfter = 30 * time.Second
 	// watcherCount is how many instances watch the store, in different failure
@@ -54,6 +67,8 @@
 	Status
 	heard time.Time
 	added time.Time
+	// relayed is true when the relay of its domain reported it last.
+	relayed bool
 }
 
 // Roster is the instances that this one knows. Set the exported fields before
@@ -64,6 +79,14 @@
 	Status Status
 
 	peers map[string]*entry
+	// silentAfter is SilentAfter, or more where reports come less often.
+	silentAfter time.Duration
+}
+
+// Interval is the pause between reports to so many targets: it grows with them,
+// so that the bytes of one instance don't.
+func Interval(targets int) time.Duration {
+	return reportInterval * time.Duration(max(1, targets/fewTargets))
 }
 
 // Add notes an instance that somebody named. It counts as alive only once it
@@ -96,17 +119,118 @@
 	if e.Run == s.Run && s.Sequence <= e.Sequence {
 		return false
 	}
-	e.Instance, e.Status, e.heard = i, s, now
+	e.Instance, e.Status, e.heard, e.relayed = i, s, now, false
+	return true
+}
+
+// Relay notes that an instance reports as the relay of its domain, as often as
+// digests come.
+func (r *Roster) Relay(name string) {
+	if e := r.peers[name]; e != nil {
+		e.relayed = true
+	}
+}
+
+// Missing notes that the relay of a domain doesn't name the others of its
+// instances: they are lost as soon as those that report by themselves would be.
+func (r *Roster) Missing(domain string, named map[string]bool) {
+	for name, e := range r.peers {
+		if e.FailureDomain == domain && !named[name] {
+			e.relayed = false
+		}
+	}
+}
+
+// Relayed notes what a relay says of an instance, which it heard at a time.
+func (r *Roster) Relayed(now time.Time, i Instance, s Status, heard time.Time) {
+	r.Add(now, i)
+	e := r.peers[i.Name]
+	if e == nil || !heard.After(e.heard) {
+		return
+	}
+	if e.Run == s.Run {
+		s.Sequence = max(s.Sequence, e.Sequence)
+	}
+	e.Instance, e.Status, e.heard, e.relayed = i, s, heard, true
+}
+
+func (r *Roster) alive(now time.Time, e *entry) bool {
+	limit := max(SilentAfter, r.silentAfter)
+	if e.relayed {
+		limit = relayedAfter
+	}
+	return !e.heard.IsZero() && now.Sub(e.heard) < limit
+}
+
+// Large reports whether the fleet is one in which domains exchange digests.
+func (r *Roster) Large(now time.Time) bool { return r.Size(now) > smallFleet }
+
+// Heard returns the status of an instance and when it was last heard.
+func (r *Roster) Heard(name string) (Status, time.Time) {
+	if e := r.peers[name]; e != nil {
+		return e.Status, e.heard
+	}
+	return Status{}, time.Time{}
+}
+
+// Domain returns the live instances of a failure domain, this one included.
+func (r *Roster) Domain(now time.Time, domain string) []Instance {
+	var list []Instance
+	if domain == r.Self.FailureDomain {
+		list = append(list, r.Self)
+	}
+	for _, e := range r.peers {
+		if e.FailureDomain == domain && r.alive(now, e) {
+			list = append(list, e.Instance)
+		}
+	}
+	slices.SortFunc(list, byName)
+	return list
+}
+
+// relayScore ranks the instances of a domain as relays.
+func relayScore(i Instance) uint64 { return crhash.Mix(crhash.Of(i.Name), crhash.Of("relay")) }
+
+// Relays reports whether this instance is the relay of its domain.
+func (r *Roster) Relays(now time.Time) bool {
+	if !r.Large(now) {
+		return false
+	}
+	for _, i := range r.Domain(now, r.Self.FailureDomain) {
+		if relayScore(i) < relayScore(r.Self) {
+			return false
+		}
+	}
 	return true
 }
 
-func (e *entry) alive(now time.Time) bool {
-	return !e.heard.IsZero() && now.Sub(e.heard) < SilentAfter
+// Digests returns the instances to send a digest to: the relay of each other
+// domain, or two of its instances while none of them is known to live.
+func (r *Roster) Digests(now time.Time) []Instance {
+	domains := make(map[string][]Instance)
+	for _, e := range r.peers {
+		if e.FailureDomain != r.Self.FailureDomain {
+			domains[e.FailureDomain] = append(domains[e.FailureDomain], e.Instance)
+		}
+	}
+	var list []Instance
+	for domain, known := range domains {
+		count, candidates := 1, r.Domain(now, domain)
+		if len(candidates) == 0 {
+			count, candidates = 2, known
+		}
+		slices.SortFunc(candidates, func(a, b Instance) int { return cmp.Compare(relayScore(a), relayScore(b)) })
+		list = append(list, candidates[:min(count, len(candidates))]...)
+	}
+	slices.SortFunc(list, byName)
+	return list
 }
 
 // Targets returns the instances to send reports to, by name, and drops those
-// that have been silent for long.
+// that have been silent for long. In a large fleet they are those of the own
+// failure domain.
 func (r *Roster) Targets(now time.Time) []Instance {
+	large := r.Large(now)
 	var list []Instance
 	for name, e := range r.peers {
 		last := e.added
@@ -117,6 +241,19 @@
 			delete(r.peers, name)
 			continue
 		}
+		if !large || e.FailureDomain == r.Self.FailureDomain {
+			list = append(list, e.Instance)
+		}
+	}
+	r.silentAfter = time.Duration(missedReports * float64(Interval(len(list))))
+	slices.SortFunc(list, byName)
+	return list
+}
+
+// Known returns all instances that were heard or named lately, by name.
+func (r *Roster) Known() []Instance {
+	var list []Instance
+	for _, e := range r.peers {
 		list = append(list, e.Instance)
 	}
 	slices.SortFunc(list, byName)
@@ -127,7 +264,7 @@
 func (r *Roster) Alive(now time.Time) []Instance {
 	var list []Instance
 	for _, e := range r.peers {
-		if e.alive(now) {
+		if r.alive(now, e) {
 			list = append(list, e.Instance)
 		}
 	}
@@ -138,7 +275,7 @@
 // IsAlive reports whether an instance reported lately in the given run.
 func (r *Roster) IsAlive(now time.Time, name string, run uint64) bool {
 	e := r.peers[name]
-	return e != nil && e.Run == run && e.alive(now)
+	return e != nil && e.Run == run && r.alive(now, e)
 }
 
 // Size returns the count of live instances, this one included.
@@ -161,7 +298,7 @@
 		add(r.Self)
 	}
 	for _, e := range r.peers {
-		if e.alive(now) && e.Ready && !e.Leaving {
+		if r.alive(now, e) && e.Ready && !e.Leaving {
 			add(e.Instance)
 		}
 	}
@@ -185,7 +322,7 @@
 func (r *Roster) watchers(now time.Time) []candidate {
 	list := []candidate{{r.Self, r.Status.StoreLost || r.Status.Leaving, watchScore(r.Self)}}
 	for _, e := range r.peers {
-		if e.alive(now) {
+		if r.alive(now, e) {
 			list = append(list, candidate{e.Instance, e.StoreLost || e.Leaving, watchScore(e.Instance)})
 		}
 	}
@@ -233,7 +370,7 @@
 	own := crhash.Mix(key, crhash.Of(r.Self.Name))
 	ahead := 0
 	for name, e := range r.peers {
-		if e.alive(now) && crhash.Mix(key, crhash.Of(name)) < own {
+		if r.alive(now, e) && crhash.Mix(key, crhash.Of(name)) < own {
 			ahead++
 		}
 	}
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -27,16 +27,11 @@
 )
 
 const (
-	// interval is the pause between reports in a small fleet.
-	interval = 200 * time.Millisecond
-	// smallFleet is the count of instances beyond which the pause grows with
-	// the fleet, so that the bytes of one instance don't.
-	smallFleet = 16
 	// seedInterval is the pause between reports to the seeds while no instance
 	// is known.
 	seedInterval = 500 * time.Millisecond
 	// maxDatagram is the largest datagram that is read, in bytes.
-	maxDatagram = 16 << 10
+	maxDatagram = 60 << 10
 	// fetchTimeout bounds a fetch from a peer.
 	fetchTimeout = time.Second
 	// maxSnapshot bounds what is read of a snapshot, in bytes.
@@ -56,8 +51,10 @@
 	// Adopted is called after a snapshot was adopted.
 	Adopted func(from string)
 
-	seeds    atomic.Pointer[[]netip.AddrPort]
-	now      chan struct{}
+	seeds atomic.Pointer[[]netip.AddrPort]
+	now   chan struct{}
+	// digest is true when the next reports go with a digest at once.
+	digest   atomic.Bool
 	once     sync.Once
 	fetching atomic.Bool
 	// contexts is true once a peer has told what endpoints hold.
@@ -73,6 +70,13 @@
 // SetSeeds sets the instances to start from.
 func (l *Link) SetSeeds(seeds []netip.AddrPort) { l.seeds.Store(&seeds) }
 
+// TellAll sends reports at once, to other failure domains too: a version
+// changed.
+func (l *Link) TellAll() {
+	l.digest.Store(true)
+	l.Tell()
+}
+
 // Tell sends reports at once: others wait for what has changed.
 func (l *Link) Tell() {
 	l.init()
@@ -92,7 +96,7 @@
 	tasks.Go(func() { l.receive(ctx, &tasks) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	lastSeeds := time.Time{}
+	lastSeeds, lastDigest := time.Time{}, time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
@@ -107,13 +111,32 @@
 		for _, i := range targets {
 			l.send(i.Peer, l.State.Compose(now, i.Name))
 		}
+		if now.Sub(lastDigest) >= crgrant.DigestInterval || l.digest.Swap(false) {
+			lastDigest = now
+			l.sendDigests(now)
+		}
 		if len(l.State.Alive(now)) == 0 && now.Sub(lastSeeds) > seedInterval {
 			lastSeeds = now
 			for _, a := range *l.seeds.Load() {
 				l.send(a, l.State.Compose(now, ""))
 			}
 		}
-		timer.Reset(interval * time.Duration(max(1, len(targets)/smallFleet)))
+		timer.Reset(crroster.Interval(len(targets)))
+	}
+}
+
+// sendDigests tells other failure domains of the own one, if this instance is
+// its relay.
+func (l *Link) sendDigests(now time.Time) {
+	targets := l.State.Digests(now)
+	if len(targets) == 0 {
+		return
+	}
+	digest := l.State.Digest(now)
+	for _, i := range targets {
+		m := l.State.Compose(now, i.Name)
+		m.Work, m.Contexts, m.Unreachable, m.Digest = nil, nil, nil, digest
+		l.send(i.Peer, m)
 	}
 }
 
@@ -162,6 +185,11 @@
 		l.Log.Warn("link: a report can't be used", zap.Error(err))
 		return
 	}
+	if heard.Forward != nil {
+		for _, i := range l.State.Targets(now) {
+			l.send(i.Peer, heard.Forward)
+		}
+	}
 	if heard.New {
 		l.Log.Info("link: an instance reports", zap.String("instance", heard.From.Name), zap.Uint64("run", m.GetRun()))
 		reply := l.State.Compose(now, heard.From.Name)
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -192,7 +192,7 @@
 func (r *Router) changed() {
 	ready := r.ready()
 	r.state.SetSelf(func(s *crroster.Status) { s.Ready = ready })
-	r.link.Tell()
+	r.link.TellAll()
 }
 
 // ready reports whether this instance takes requests from new callers.
@@ -271,7 +271,7 @@
 func (r *Router) leave(ctx context.Context) {
 	r.leaving.Store(true)
 	r.state.SetSelf(func(s *crroster.Status) { s.Ready, s.Leaving = false, true })
-	r.link.Tell()
+	r.link.TellAll()
 	r.Log.Info("daemon: leaving", zap.Int64("requests-in-flight", r.Metrics.InFlight.Value()))
 	limit := r.Settings.StopTimeout
 	start := time.Now()
