--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -14,9 +14,13 @@
 )
 
 const (
-	// DigestInterval is the pause between the digests of a relay.
-	DigestInterval = 400 * time.Millisecond
-	// digestContexts is how long a context stays in the digests: in two of them.
+	// DigestInterval is the pause between the full digests of a relay, and
+	// ContextInterval that between those that only tell of contexts: an engine
+	// reads a long prompt in 0.2 s, and none should read it beside that.
+	DigestInterval  = 400 * time.Millisecond
+	ContextInterval = 100 * time.Millisecond
+	// digestContexts is how long a context is kept for the digests: it stands in
+	// the next one and in the next full one.
 	digestContexts = 900 * time.Millisecond
 	// maxRelayed bounds the contexts of a digest.
 	maxRelayed = 400
@@ -45,11 +49,34 @@
 	return s.roster.Digests(now)
 }
 
-// Digest returns the own failure domain for other domains.
-func (s *State) Digest(now time.Time) *pb.Digest {
+// Digest returns the own failure domain for other domains. Without full it only
+// has the contexts since the last one, and is nil when there are none.
+func (s *State) Digest(now time.Time, full bool) *pb.Digest {
 	s.lock(now)
 	defer s.mu.Unlock()
-	m := &pb.Digest{FailureDomain: s.Self.FailureDomain}
+	m := &pb.Digest{FailureDomain: s.Self.FailureDomain, Full: full}
+	since := s.reports.digested
+	if full {
+		since = s.reports.digestedFull
+		s.reports.digestedFull = now
+	}
+	s.reports.digested = now
+	for _, list := range [][]recentContext{s.reports.recent, s.reports.relayed} {
+		for _, c := range list {
+			if c.at.After(since) {
+				m.Contexts = append(m.Contexts, c.Context)
+			}
+		}
+	}
+	if full {
+		s.fillDigest(now, m)
+	} else if len(m.Contexts) == 0 {
+		return nil
+	}
+	return m
+}
+
+func (s *State) fillDigest(now time.Time, m *pb.Digest) {
 	for _, i := range s.roster.Domain(now, s.Self.FailureDomain) {
 		status, heard := s.roster.Heard(i.Name)
 		if i.Name == s.Self.Name {
@@ -64,21 +91,19 @@
 	for k, n := range s.work.Sums(func(name string) bool { return !strings.HasPrefix(name, domainPrefix) }) {
 		m.Work = append(m.Work, &pb.Work{Endpoint: uint64(k), Requests: uint32(n)})
 	}
-	for _, list := range [][]recentContext{s.reports.recent, s.reports.relayed} {
-		for _, c := range list {
-			if now.Sub(c.at) <= digestContexts {
-				m.Contexts = append(m.Contexts, c.Context)
-			}
-		}
-	}
 	for _, k := range s.health.Ejected(now) {
 		m.Unreachable = append(m.Unreachable, uint64(k))
 	}
-	return m
 }
 
 // takeDigest takes another domain in.
 func (s *State) takeDigest(now time.Time, m *pb.Digest) error {
+	for _, c := range m.GetContexts() {
+		s.takeContext(now, c)
+	}
+	if !m.GetFull() {
+		return nil
+	}
 	named := make(map[string]bool)
 	for _, member := range m.GetMembers() {
 		i, err := peerFromProto(member.GetPeer())
@@ -96,9 +121,6 @@
 		work[crledger.Key(w.GetEndpoint())] = int(w.GetRequests())
 	}
 	s.work.Report(now, domainPrefix+m.GetFailureDomain(), work)
-	for _, c := range m.GetContexts() {
-		s.takeContext(now, c)
-	}
 	for _, k := range m.GetUnreachable() {
 		s.health.Heard(now, crledger.Key(k))
 	}
--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -91,7 +91,7 @@
 			if f.now.Sub(start)%crgrant.DigestInterval != 0 {
 				continue
 			}
-			targets, digest := n.Digests(f.now), n.Digest(f.now)
+			targets, digest := n.Digests(f.now), n.Digest(f.now, true)
 			for _, i := range targets {
 				m := n.Compose(f.now, i.Name)
 				m.Work, m.Contexts, m.Unreachable, m.Digest = nil, nil, nil, digest
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -38,6 +38,8 @@
 	// relayed are contexts that instances of the own domain told, for the
 	// digests of a relay.
 	relayed []recentContext
+	// digested and digestedFull are when the last digests were made.
+	digested, digestedFull time.Time
 }
 
 type recentContext struct {
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -96,6 +96,8 @@
 	tasks.Go(func() { l.receive(ctx, &tasks) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	digests := time.NewTicker(crgrant.ContextInterval)
+	defer digests.Stop()
 	lastSeeds, lastDigest := time.Time{}, time.Time{}
 	for {
 		select {
@@ -103,6 +105,9 @@
 			l.Packets.Close()
 			tasks.Wait()
 			return
+		case <-digests.C:
+			l.sendDigests(time.Now(), &lastDigest)
+			continue
 		case <-timer.C:
 		case <-l.now:
 		}
@@ -111,10 +116,6 @@
 		for _, i := range targets {
 			l.send(i.Peer, l.State.Compose(now, i.Name))
 		}
-		if now.Sub(lastDigest) >= crgrant.DigestInterval || l.digest.Swap(false) {
-			lastDigest = now
-			l.sendDigests(now)
-		}
 		if len(l.State.Alive(now)) == 0 && now.Sub(lastSeeds) > seedInterval {
 			lastSeeds = now
 			for _, a := range *l.seeds.Load() {
@@ -126,13 +127,20 @@
 }
 
 // sendDigests tells other failure domains of the own one, if this instance is
-// its relay.
-func (l *Link) sendDigests(now time.Time) {
+// its relay. The digest is full at an interval, and when a version changed.
+func (l *Link) sendDigests(now time.Time, lastFull *time.Time) {
 	targets := l.State.Digests(now)
 	if len(targets) == 0 {
 		return
 	}
-	digest := l.State.Digest(now)
+	full := now.Sub(*lastFull) >= crgrant.DigestInterval || l.digest.Swap(false)
+	digest := l.State.Digest(now, full)
+	if digest == nil {
+		return
+	}
+	if full {
+		*lastFull = now
+	}
 	for _, i := range targets {
 		m := l.State.Compose(now, i.Name)
 		m.Work, m.Contexts, m.Unreachable, m.Digest = nil, nil, nil, digest
