Give endpoints and domains out of service an age of their own

Looking for one showed that an instance goes to the store by itself only when the routing grows old: while watchers change, nobody may watch the endpoints though the routing is fresh.

Figures: TestEachKindGrowsOldByItself fails before.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -49,8 +49,11 @@
 	// Urgent is called when other instances are to hear of something at once. It
 	// must not call the state; may be nil.
 	Urgent func()
-	// Evidence is how old the routing is.
-	Evidence crevidence.Evidence
+	// Evidence is how old the routing is, EndpointsEvidence and OutsEvidence how
+	// old the endpoints and the failure domains out of service are.
+	Evidence          crevidence.Evidence
+	EndpointsEvidence crevidence.Evidence
+	OutsEvidence      crevidence.Evidence
 
 	mu       sync.Mutex
 	once     sync.Once
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"crocusrack/core/crcontext"
+	"crocusrack/core/crevidence"
 	"crocusrack/core/crledger"
 	"crocusrack/core/crplace"
 	"crocusrack/core/crroster"
@@ -96,10 +97,10 @@
 	}
 	if s.table != nil {
 		m.RoutingVersion = s.table.Version
-		if age, ok := s.Evidence.Age(reading); ok {
-			m.RoutingAge = durationpb.New(age)
-		}
+		m.RoutingAge = ageProto(&s.Evidence, reading)
 	}
+	m.EndpointsAge = ageProto(&s.EndpointsEvidence, reading)
+	m.OutsAge = ageProto(&s.OutsEvidence, reading)
 	if e := s.reports.peers[to]; e != nil {
 		m.Echo, m.EchoRun = durationpb.New(e.stamp), e.run
 	}
@@ -119,6 +120,14 @@
 	return m
 }
 
+func ageProto(e *crevidence.Evidence, reading time.Duration) *durationpb.Duration {
+	age, ok := e.Age(reading)
+	if !ok {
+		return nil
+	}
+	return durationpb.New(age)
+}
+
 // Introduce returns the report with all instances that this one knows, for one
 // that has just started.
 func (s *State) Introduce(now time.Time, m *pb.Report) {
@@ -187,21 +196,27 @@
 	return h, nil
 }
 
-// takeEcho keeps the sender's stamp and, if our routing is as new, its
-// evidence. The echo of a stamp of an earlier run of this process is of no use:
+// takeEcho keeps the sender's stamp and takes over its evidence for what is as
+// new here. The echo of a stamp of an earlier run of this process is of no use:
 // the clock may have started anew since.
 func (s *State) takeEcho(name string, m *pb.Report) {
 	if s.reports.peers == nil {
 		s.reports.peers = make(map[string]*echo)
 	}
 	s.reports.peers[name] = &echo{run: m.GetRun(), stamp: m.GetStamp().AsDuration()}
-	if m.Echo == nil || m.RoutingAge == nil || s.table == nil || m.GetRoutingVersion() > s.table.Version {
+	if m.Echo == nil || m.GetEchoRun() != s.Run {
 		return
 	}
-	if m.GetEchoRun() != s.Run {
-		return
+	sent := m.GetEcho().AsDuration()
+	if m.RoutingAge != nil && s.table != nil && m.GetRoutingVersion() <= s.table.Version {
+		s.Evidence.Heard(sent, m.GetRoutingAge().AsDuration())
+	}
+	if m.EndpointsAge != nil && m.GetEndpointsRevision() <= s.endpointsRevision {
+		s.EndpointsEvidence.Heard(sent, m.GetEndpointsAge().AsDuration())
+	}
+	if m.OutsAge != nil && m.GetOutsRevision() <= s.outsRevision {
+		s.OutsEvidence.Heard(sent, m.GetOutsAge().AsDuration())
 	}
-	s.Evidence.Heard(m.GetEcho().AsDuration(), m.GetRoutingAge().AsDuration())
 }
 
 func (s *State) takeWork(now time.Time, name string, m *pb.Report) {
--- a/io/crwatch/kinds.go
+++ b/io/crwatch/kinds.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"crocusrack/core/crevidence"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crplace"
 	pb "crocusrack/schema/crrouter"
@@ -37,11 +38,8 @@
 	}
 }
 
-func (k *routingKind) read(start time.Duration) {
-	if k.w.State.Table() != nil {
-		k.w.State.Evidence.Read(start)
-	}
-}
+func (k *routingKind) evidence() *crevidence.Evidence { return &k.w.State.Evidence }
+func (k *routingKind) read() bool                     { return k.w.State.Table() != nil }
 
 // endpointsKind keeps the endpoints by id.
 type endpointsKind struct {
@@ -55,11 +53,12 @@
 	applied   map[string]*pb.Endpoint
 }
 
-func (k *endpointsKind) feed() Feed[pb.Endpoint] { return k.w.Endpoints }
-func (k *endpointsKind) wait() time.Duration     { return endpointsWait }
-func (k *endpointsKind) pause() time.Duration    { return endpointsPause }
-func (k *endpointsKind) read(time.Duration)      {}
-func (k *endpointsKind) probes() bool            { return false }
+func (k *endpointsKind) feed() Feed[pb.Endpoint]        { return k.w.Endpoints }
+func (k *endpointsKind) wait() time.Duration            { return endpointsWait }
+func (k *endpointsKind) pause() time.Duration           { return endpointsPause }
+func (k *endpointsKind) evidence() *crevidence.Evidence { return &k.w.State.EndpointsEvidence }
+func (k *endpointsKind) read() bool                     { return true }
+func (k *endpointsKind) probes() bool                   { return false }
 
 // reset starts from the endpoints in force, which peers may have told while this
 // instance didn't watch. Those that the list then lacks are missing.
@@ -149,11 +148,12 @@
 	applied map[string]bool
 }
 
-func (k *outsKind) feed() Feed[struct{}] { return k.w.Outs }
-func (k *outsKind) wait() time.Duration  { return outsWait }
-func (k *outsKind) pause() time.Duration { return 0 }
-func (k *outsKind) read(time.Duration)   {}
-func (k *outsKind) probes() bool         { return false }
+func (k *outsKind) feed() Feed[struct{}]           { return k.w.Outs }
+func (k *outsKind) wait() time.Duration            { return outsWait }
+func (k *outsKind) pause() time.Duration           { return 0 }
+func (k *outsKind) evidence() *crevidence.Evidence { return &k.w.State.OutsEvidence }
+func (k *outsKind) read() bool                     { return true }
+func (k *outsKind) probes() bool                   { return false }
 
 func (k *outsKind) reset() {
 	clear(k.known)
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"crocusrack/core/crbackoff"
+	"crocusrack/core/crevidence"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crplace"
 	"crocusrack/core/crroster"
@@ -26,10 +27,9 @@
 	// routingWait is how long a watch of the routing waits: evidence is as old
 	// as the watch.
 	routingWait = 700 * time.Millisecond
-	// endpointsWait and outsWait are the same for the others, whose age isn't
-	// shown.
-	endpointsWait = 2500 * time.Millisecond
-	outsWait      = 2500 * time.Millisecond
+	// endpointsWait and outsWait are the same for the others.
+	endpointsWait = 800 * time.Millisecond
+	outsWait      = 1200 * time.Millisecond
 	// endpointsPause is the pause between two watches of the endpoints, which
 	// report all the time: their changes are collected meanwhile.
 	endpointsPause = 500 * time.Millisecond
@@ -98,12 +98,13 @@
 	tasks.Wait()
 }
 
-// needed reports whether this instance is to read the store now.
-func (w *Watcher) needed() bool {
+// needed reports whether this instance is to read a kind of objects now: it is
+// one of those that watch, or what it heard of the kind has grown old.
+func (w *Watcher) needed(e *crevidence.Evidence) bool {
 	if w.State.Watches(time.Now()) {
 		return true
 	}
-	age, ok := w.State.Evidence.Age(w.State.Elapsed())
+	age, ok := e.Age(w.State.Elapsed())
 	return !ok || age > ownAge
 }
 
@@ -116,8 +117,10 @@
 	// lead to.
 	reset()
 	take(changes []Change[T], at uint64)
-	// read notes a call that began at a reading of the clock.
-	read(start time.Duration)
+	// evidence is how old what is known of the kind is.
+	evidence() *crevidence.Evidence
+	// read reports whether a call has brought what the kind is about.
+	read() bool
 	// probes reports whether the kind is asked for while the store is lost; the
 	// others wait for its return.
 	probes() bool
@@ -133,7 +136,7 @@
 			_ = crbackoff.Sleep(ctx, idlePause)
 			continue
 		}
-		if !w.needed() {
+		if !w.needed(k.evidence()) {
 			listed = false
 			// An ended context is noticed by the loop.
 			_ = crbackoff.Sleep(ctx, idlePause)
@@ -158,7 +161,9 @@
 			k.reset()
 		}
 		k.take(changes, at)
-		k.read(start)
+		if k.read() {
+			k.evidence().Read(start)
+		}
 		position, listed = at, true
 		_ = crbackoff.Sleep(ctx, k.pause())
 	}
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -241,19 +242,50 @@
 
 // report lets another instance, which reaches the store, report to the state.
 func report(t *testing.T, state *crgrant.State, name string) {
+	t.Helper()
+	reportAge(t, state, name, durationpb.New(0))
+}
+
+func reportAge(t *testing.T, state *crgrant.State, name string, endpointsAge *durationpb.Duration) {
 	t.Helper()
 	m := state.Compose(time.Now(), "")
-	from := &pb.Peer{Name: name, FailureDomain: "noord-b", Front: "10.0.0.2:80", Peer: "10.0.0.2:81"}
+	from := &pb.Peer{Name: name, FailureDomain: "noord-" + string('b'+name[len(name)-1]%2), Front: "10.0.0.2:80", Peer: "10.0.0.2:81"}
 	_, err := state.Receive(time.Now(), &pb.Report{
 		From: from, Run: 7, Sequence: m.GetSequence(), Ready: true, RoutingVersion: 3,
 		RoutingAge: durationpb.New(0), Echo: m.GetStamp(), EchoRun: state.Run,
 		EndpointsRevision: m.GetEndpointsRevision(), OutsRevision: m.GetOutsRevision(),
+		EndpointsAge: endpointsAge, OutsAge: durationpb.New(0),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 }
 
+// TestEachKindGrowsOldByItself: others watch the routing, and nobody the
+// endpoints. This instance goes to the store for those.
+func TestEachKindGrowsOldByItself(t *testing.T) {
+	s := newStore("llm-1", "llm-2")
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(2 * time.Second)
+		gone := time.Now()
+		for time.Since(gone) < 4*time.Second {
+			for i := range 8 {
+				reportAge(t, state, fmt.Sprint("instance-", i+2), durationpb.New(time.Since(gone)))
+			}
+			if state.Watches(time.Now()) {
+				t.Fatal("this instance watches the store; the test needs one that doesn't")
+			}
+			if time.Since(gone) > time.Second {
+				s.do(func() { delete(s.endpoints, "llm-1") })
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if diff := cmp.Diff([]string{"llm-2"}, endpoints(state)); diff != "" {
+			t.Errorf("endpoints (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // TestOutageMakesFewCalls bounds the calls of one instance to a store that is
 // down: one kind of objects asks for all, at most every 1.2 s after the first
 // few. The calls are priced, and a fleet makes them all.
