Check the router's settings page, the link and the log; remove what nothing uses

Cause: settings of the router weren't on the reference page and had no example; the link and the log queue had no tests; four functions had no caller.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -386,10 +386,3 @@
 	defer s.mu.Unlock()
 	return s.roster.Alive(now)
 }
-
-// Load returns the work of a service and the slots of its endpoints.
-func (s *State) Load(now time.Time, service string) (work, slots int) {
-	s.lock(now)
-	defer s.mu.Unlock()
-	return s.placer.Load(service)
-}
--- a/core/crledger/ledger.go
+++ b/core/crledger/ledger.go
@@ -10,10 +10,9 @@
 
 // Ledger is the requests in flight. Its zero value is empty.
 type Ledger struct {
-	own     map[Key]int
-	others  map[string]report
-	sums    map[Key]int
-	version uint64
+	own    map[Key]int
+	others map[string]report
+	sums   map[Key]int
 }
 
 type report struct {
@@ -28,7 +27,6 @@
 	}
 	l.own[k]++
 	l.add(k, 1)
-	l.version++
 }
 
 // End counts a request of this instance out.
@@ -38,7 +36,6 @@
 		delete(l.own, k)
 	}
 	l.add(k, -1)
-	l.version++
 }
 
 func (l *Ledger) add(k Key, n int) {
@@ -103,6 +100,3 @@
 // Own returns this instance's requests by endpoint. The caller must not keep
 // or change the map.
 func (l *Ledger) Own() map[Key]int { return l.own }
-
-// Version changes whenever this instance's own work does.
-func (l *Ledger) Version() uint64 { return l.version }
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -424,14 +424,3 @@
 	}
 	return soonest
 }
-
-// Load returns the work of a service and the slots of its endpoints in use.
-func (p *Placer) Load(service string) (work, slots int) {
-	for _, e := range p.services[service] {
-		work += p.Work.InFlight(e.Key)
-		if !e.Draining {
-			slots += e.Slots
-		}
-	}
-	return work, slots
-}
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -15,7 +15,6 @@
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -107,8 +106,6 @@
 	MaxKeyAge time.Duration
 	// Closing reports whether connections are to be closed after their answer.
 	Closing func() bool
-
-	active sync.WaitGroup
 }
 
 // exchange is one request on its way.
@@ -136,8 +133,6 @@
 
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	f.active.Add(1)
-	defer f.active.Done()
 	f.Metrics.InFlight.Add(1)
 	defer f.Metrics.InFlight.Add(-1)
 	x := &exchange{Forwarder: f, incoming: r, writer: w, start: time.Now()}
@@ -150,9 +145,6 @@
 	}
 }
 
-// Wait waits until no request is left.
-func (f *Forwarder) Wait() { f.active.Wait() }
-
 // accept checks a request and reads its body. It answers by itself when the
 // request can't go on.
 func (x *exchange) accept() bool {
--- /dev/null
+++ b/io/crlink/link_test.go
@@ -0,0 +1,85 @@
+package crlink_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crroster"
+	"crocusrack/io/crlink"
+	pb "crocusrack/schema/crrouter"
+)
+
+// instance is a link on loopback whose datagrams and snapshots share a port.
+func instance(t *testing.T, name string, run uint64) (*crlink.Link, chan string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	packets, err := net.ListenPacket("udp4", address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	adopted := make(chan string, 9)
+	begin := time.Now()
+	l := &crlink.Link{
+		State: &crgrant.State{
+			Self:    crroster.Instance{Name: name, FailureDomain: "noord-a", Front: address, Peer: address},
+			Run:     run,
+			Retries: crgrant.RetryLimit{Window: time.Second},
+			Elapsed: func() time.Duration { return time.Since(begin) },
+		},
+		Packets: packets, HTTP: http.DefaultClient, Log: zap.NewNop(),
+		Adopted: func(from string) { adopted <- from },
+	}
+	mux := http.NewServeMux()
+	l.Register(mux)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: mux}}
+	server.Start()
+	t.Cleanup(server.Close)
+	return l, adopted
+}
+
+// TestNewerVersionIsFetched: an instance that knows only a seed finds it and
+// fetches the version that it lacks.
+func TestNewerVersionIsFetched(t *testing.T) {
+	a, _ := instance(t, "instance-1", 1)
+	b, adopted := instance(t, "instance-2", 2)
+	a.State.SetRouting(&pb.Routing{Version: 7})
+	a.SetSeeds(nil)
+	b.SetSeeds([]netip.AddrPort{a.State.Self.Peer})
+	ctx, cancel := context.WithCancel(t.Context())
+	var both sync.WaitGroup
+	both.Go(func() { a.Run(ctx) })
+	both.Go(func() { b.Run(ctx) })
+	if from := <-adopted; from != "instance-1" {
+		t.Errorf("adopted from %s", from)
+	}
+	if got := b.State.Table().Version; got != 7 {
+		t.Errorf("version %d, want 7", got)
+	}
+	cancel()
+	both.Wait()
+}
+
+func TestSnapshotRefusesBadNumbers(t *testing.T) {
+	a, _ := instance(t, "instance-1", 1)
+	defer a.Packets.Close()
+	mux := http.NewServeMux()
+	a.Register(mux)
+	w := httptest.NewRecorder()
+	mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/snapshot?routing=x&endpoints=0&outs=0", nil))
+	if w.Code != http.StatusBadRequest {
+		t.Errorf("status %d, want 400", w.Code)
+	}
+}
--- a/io/crprogram/route.go
+++ b/io/crprogram/route.go
@@ -37,7 +37,7 @@
 
 // Usage returns the help with an example.
 func (*Route) Usage() string {
-	return "crocusrackd route -settings FILE [-check]\n  forward HTTP requests until SIGTERM.\n  Example: crocusrackd route -settings examples/router/noord-a-1.toml -check\n"
+	return "crocusrackd route -settings FILE [-check]\n  forward HTTP requests until SIGTERM.\n  Example: crocusrackd route -settings examples/router.toml -check\n"
 }
 
 // SetFlags defines the command's flags.
@@ -90,7 +90,7 @@
 	}
 	go queue.Run()
 	defer queue.Close()
-	r := &crrouter.Router{Settings: s, Log: log, RunNumber: rand.Uint64(), Elapsed: elapsed}
+	r := &crrouter.Router{Settings: s, Log: log, RunNumber: rand.Uint64(), Elapsed: elapsed, LinesDropped: queue.Dropped}
 	c.Adapt(r)
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
--- a/io/crreference/reference.go
+++ b/io/crreference/reference.go
@@ -37,11 +37,17 @@
 	b.WriteString("\n## Settings of a daemon\n\n")
 	b.WriteString("Written in TOML. A dot in a key stands for a table: `caller.address` is `address` in `[caller]`.\n")
 	b.WriteString("Durations are written as `\"1m30s\"`. Unknown keys are refused, and all problems of a file are reported at once.\n\n")
+	keys(&b, crsettings.Keys())
+	b.WriteString("\n## Settings of `crocusrackd route`\n\n")
+	keys(&b, crsettings.RouterKeys())
+	return b.String()
+}
+
+func keys(b *strings.Builder, table []crsettings.Key) {
 	b.WriteString("| key | type | default | range | unit | meaning |\n|---|---|---|---|---|---|\n")
-	for _, k := range crsettings.Keys() {
-		row(&b, code(k.Path), string(k.Type), defaultOf(k), rangeOf(k), k.Unit, k.Doc)
+	for _, k := range table {
+		row(b, code(k.Path), string(k.Type), defaultOf(k), rangeOf(k), k.Unit, k.Doc)
 	}
-	return b.String()
 }
 
 func defaultOf(k crsettings.Key) string {
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -70,6 +70,8 @@
 	Ready     func(ready func() bool) http.Handler
 	Directory func(fronts func(domain string) []netip.AddrPort, lifetime time.Duration) http.Handler
 	Metrics   crforward.Metrics
+	// LinesDropped returns how many lines of the log were dropped.
+	LinesDropped func() int64
 
 	state     *crgrant.State
 	forwarder *crforward.Forwarder
@@ -215,6 +217,7 @@
 		sent, received := r.link.Bytes()
 		return map[string]int64{"sent": sent, "received": received}
 	}))
+	vars.Set("log-lines-dropped", expvar.Func(func() any { return r.LinesDropped() }))
 	metrics.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		fmt.Fprintln(w, vars)
