Leave an endpoint that refuses out for a moment, and watch domains less often

Change: a refusal puts an endpoint out of use for 0.4 s; failure domains are watched for 1.8 s and read by an instance itself after 4.2 s.

--- a/core/crhealth/health.go
+++ b/core/crhealth/health.go
@@ -12,6 +12,9 @@
 	// ejectBase is the first time out of use; it doubles with each ejection in
 	// a row.
 	ejectBase = time.Second
+	// refusedFor is the time out of use after a refusal: the endpoint is full,
+	// leaves, or isn't the one that is meant.
+	refusedFor = 400 * time.Millisecond
 	// ejectMax bounds the time out of use: an endpoint that works again is
 	// missed no longer.
 	ejectMax = 8 * time.Second
@@ -31,12 +34,13 @@
 
 // The outcomes. Unreachable is a connection that was refused or not taken,
 // Broken an answer that was cut, spoilt or never came, Failed a failure that the
-// endpoint answered, and Good all else.
+// endpoint answered, Refused a request that it didn't run, and Good all else.
 const (
 	Good Outcome = iota
 	Failed
 	Broken
 	Unreachable
+	Refused
 )
 
 type state struct {
@@ -81,6 +85,8 @@
 		return false
 	case Unreachable:
 		return s.eject(now)
+	case Refused:
+		s.until = later(s.until, now.Add(refusedFor))
 	case Broken:
 		s.row++
 	case Failed:
@@ -91,6 +97,13 @@
 	return false
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s *state) eject(now time.Time) bool {
 	if now.Before(s.until) {
 		return false
@@ -143,7 +156,7 @@
 	}
 }
 
-var outcomeNames = [...]string{Good: "good", Failed: "failed", Broken: "broken", Unreachable: "unreachable"}
+var outcomeNames = [...]string{Good: "good", Failed: "failed", Broken: "broken", Unreachable: "unreachable", Refused: "refused"}
 
 // String returns the outcome in lower case.
 func (o Outcome) String() string {
--- a/core/crhealth/health_test.go
+++ b/core/crhealth/health_test.go
@@ -25,6 +25,7 @@
 	}{
 		{"good", repeat(crhealth.Good, 9), 0, true},
 		{"unreachable once", repeat(crhealth.Unreachable, 1), 0, false},
+		{"refused once", repeat(crhealth.Refused, 1), 0, false},
 		{"broken once", repeat(crhealth.Broken, 1), 0, true},
 		{"broken in a row", repeat(crhealth.Broken, 3), 0, false},
 		{"fails most", repeat(crhealth.Failed, 9), 0, false},
@@ -80,3 +81,11 @@
 		t.Error("a peer's word is passed on as an own one")
 	}
 }
+
+func TestRefusalIsShort(t *testing.T) {
+	var table crhealth.Table
+	table.Note(start, 1, crhealth.Refused, 0)
+	if !table.Usable(start.Add(500*time.Millisecond), 1) {
+		t.Error("not usable half a second after a refusal: it may have been full for a moment")
+	}
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -178,7 +178,7 @@
 		if _, err := x.readWhole(answer); err != nil {
 			x.trace.last = err
 		}
-		x.end(g, crhealth.Failed)
+		x.end(g, crhealth.Refused)
 		return result{verdict: notRun}
 	}
 	if answer.Status < 300 && x.route.Kind == crroute.Stream {
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -98,7 +98,7 @@
 		}
 		if answer.Status >= 300 || x.Codec.NotRun(answer.Status, answer.Header) {
 			answer.Close()
-			x.end(g, crhealth.Failed)
+			x.end(g, crhealth.Refused)
 			continue
 		}
 		x.logResumed(g, last)
--- a/io/crwatch/kinds.go
+++ b/io/crwatch/kinds.go
@@ -39,6 +39,7 @@
 }
 
 func (k *routingKind) evidence() *crevidence.Evidence { return &k.w.State.Evidence }
+func (k *routingKind) oldest() time.Duration          { return ownAge }
 func (k *routingKind) read() bool                     { return k.w.State.Table() != nil }
 
 // endpointsKind keeps the endpoints by id.
@@ -57,6 +58,7 @@
 func (k *endpointsKind) wait() time.Duration            { return endpointsWait }
 func (k *endpointsKind) pause() time.Duration           { return endpointsPause }
 func (k *endpointsKind) evidence() *crevidence.Evidence { return &k.w.State.EndpointsEvidence }
+func (k *endpointsKind) oldest() time.Duration          { return ownAge }
 func (k *endpointsKind) read() bool                     { return true }
 func (k *endpointsKind) probes() bool                   { return false }
 
@@ -152,6 +154,7 @@
 func (k *outsKind) wait() time.Duration            { return outsWait }
 func (k *outsKind) pause() time.Duration           { return 0 }
 func (k *outsKind) evidence() *crevidence.Evidence { return &k.w.State.OutsEvidence }
+func (k *outsKind) oldest() time.Duration          { return outsOwnAge }
 func (k *outsKind) read() bool                     { return true }
 func (k *outsKind) probes() bool                   { return false }
 
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -29,7 +29,7 @@
 	routingWait = 700 * time.Millisecond
 	// endpointsWait and outsWait are the same for the others.
 	endpointsWait = 800 * time.Millisecond
-	outsWait      = 1200 * time.Millisecond
+	outsWait      = 1800 * time.Millisecond
 	// endpointsPause is the pause between two watches of the endpoints, which
 	// report all the time: their changes are collected meanwhile.
 	endpointsPause = 500 * time.Millisecond
@@ -39,8 +39,10 @@
 	// has to.
 	idlePause = 150 * time.Millisecond
 	// ownAge is the age of evidence at which an instance goes to the store by
-	// itself.
-	ownAge = 2300 * time.Millisecond
+	// itself; outsOwnAge is that for the failure domains out of service, which
+	// the users give five seconds to take effect.
+	ownAge     = 2300 * time.Millisecond
+	outsOwnAge = 4200 * time.Millisecond
 	// returnGrace is how long an entry of an endpoint that went missing is kept
 	// after an outage of the store: live endpoints are back by then.
 	returnGrace = 2300 * time.Millisecond
@@ -100,12 +102,12 @@
 
 // needed reports whether this instance is to read a kind of objects now: it is
 // one of those that watch, or what it heard of the kind has grown old.
-func (w *Watcher) needed(e *crevidence.Evidence) bool {
+func (w *Watcher) needed(e *crevidence.Evidence, oldest time.Duration) bool {
 	if w.State.Watches(time.Now()) {
 		return true
 	}
 	age, ok := e.Age(w.State.Elapsed())
-	return !ok || age > ownAge
+	return !ok || age > oldest
 }
 
 // kind is what is particular to one kind of objects.
@@ -119,6 +121,8 @@
 	take(changes []Change[T], at uint64)
 	// evidence is how old what is known of the kind is.
 	evidence() *crevidence.Evidence
+	// oldest is the age at which an instance reads the kind by itself.
+	oldest() time.Duration
 	// read reports whether a call has brought what the kind is about.
 	read() bool
 	// probes reports whether the kind is asked for while the store is lost; the
@@ -136,7 +140,7 @@
 			_ = crbackoff.Sleep(ctx, idlePause)
 			continue
 		}
-		if !w.needed(k.evidence()) {
+		if !w.needed(k.evidence(), k.oldest()) {
 			listed = false
 			// An ended context is noticed by the loop.
 			_ = crbackoff.Sleep(ctx, idlePause)
