--- a/stand/crsoak/process.go
+++ b/stand/crsoak/process.go
@@ -32,7 +32,7 @@
 	stopped bool
 }
 
-// newDaemon writes the settings of a daemon.
+// configure writes the settings of the daemon.
 func (d *daemon) configure(folder string, seeds []string) error {
 	ready, err := freeAddress()
 	if err != nil {
@@ -55,7 +55,7 @@
 	return os.WriteFile(d.settings, []byte(text), 0o600)
 }
 
-// start starts the process and starts it again whenever it ends, until stop.
+// start starts the process, unless the daemon was stopped for good.
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/stand/crsoak/world.go
+++ b/stand/crsoak/world.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	crstandin "crocusrack/platform/standin"
@@ -45,11 +46,15 @@
 // domains are the failure domains of a soak.
 var domains = []string{"noord-a", "noord-b", "noord-c"}
 
-// listen opens a listener at an address of this process's own: another soak on
-// the machine can't take a port between its choice and its use.
+// listened counts the listeners of this process.
+var listened atomic.Uint32
+
+// listen opens a listener at an address that nothing else on the machine uses: a
+// port that is given up for a daemon can't be taken before the daemon has it.
 func listen() (net.Listener, error) {
-	id := os.Getpid()
-	own := netip.AddrFrom4([4]byte{127, byte(1 + id>>14), byte(id >> 7 & 0x7f), byte(1 + id&0x7f)})
+	const most = 250
+	n := listened.Add(1)
+	own := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%most), byte(n / most), byte(1 + n%most)})
 	return net.Listen("tcp4", netip.AddrPortFrom(own, 0).String())
 }
 
