--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -17,16 +17,16 @@
 // fleet is instances in three failure domains that exchange reports as crlink
 // does, each 200 ms, with a digest each 400 ms. Messages arrive at once.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	now   time.Time
 	nodes map[string]*node
 	names []string
 	down  map[string]bool
-	// crossing counts the bytes between failure domains.
-	crossing int
+	// crossing counts the bytes between failure domains, inside those within.
+	crossing, inside int
 }
 
-func newFleet(t *testing.T, size int) *fleet {
+func newFleet(t testing.TB, size int) *fleet {
 	f := &fleet{t: t, now: start, nodes: map[string]*node{}, down: map[string]bool{}}
 	var list []*crplace.Endpoint
 	for i := range 9 {
@@ -56,6 +56,8 @@
 	}
 	if sender.Self.FailureDomain != receiver.Self.FailureDomain {
 		f.crossing += proto.Size(m)
+	} else {
+		f.inside += proto.Size(m)
 	}
 	h, err := receiver.Receive(f.now, proto.CloneOf(m))
 	if err != nil {
@@ -198,3 +200,27 @@
 		t.Errorf("%d bytes a second cross domains, want less than a fifth of %d", digests, all)
 	}
 }
+
+// BenchmarkControlBytes gives what instances send each other in a second when
+// each has four requests in flight, without the headers of packets. Instances
+// report each 200 ms here, also in fleets in which they would report less often.
+func BenchmarkControlBytes(b *testing.B) {
+	for _, size := range []int{7, 16, 30, 58, 99} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			const span = 4 * time.Second
+			for b.Loop() {
+				f := newFleet(b, size)
+				f.run(span)
+				for _, name := range f.names {
+					for range 4 {
+						f.nodes[name].Grant(f.now, crgrant.Ask{Service: crroute.Service{Name: "llm"}})
+					}
+				}
+				f.crossing, f.inside = 0, 0
+				f.run(span)
+				b.ReportMetric(float64(f.crossing)/span.Seconds()/float64(size), "crossing-B/s/instance")
+				b.ReportMetric(float64(f.inside)/span.Seconds()/float64(size), "inside-B/s/instance")
+			}
+		})
+	}
+}
--- a/core/crgrant/grant_test.go
+++ b/core/crgrant/grant_test.go
@@ -41,7 +41,7 @@
 }
 
 // endpoint returns an endpoint of the service llm.
-func endpoint(t *testing.T, id string) *crplace.Endpoint {
+func endpoint(t testing.TB, id string) *crplace.Endpoint {
 	t.Helper()
 	e, err := crgrant.NewEndpoint(start, &pb.Endpoint{Id: id, Service: "llm", Address: "10.0.1.1:80", FailureDomain: "noord-a", Slots: 64})
 	if err != nil {
