Don't say that a request has not run after it may have

Cause: found by reading: when a key or an endpoint went between a first attempt that may have run and a second one, the caller got 503, which promises that nothing ran. Only requests that may be repeated came there.

Change: such a request ends as one whose answer was lost.

Figures: TestChangedAfterARun fails before.

--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -52,8 +52,11 @@
 		}
 		if !grant.Valid(time.Now()) || !x.keyHolds() {
 			grant.Drop(time.Now())
-			x.refuse("changed-meanwhile", firstRetry)
-			return
+			if x.sent == 0 {
+				x.refuse("changed-meanwhile", firstRetry)
+				return
+			}
+			break
 		}
 		x.trace.attempt(grant)
 		result := x.attempt(ctx, grant, x.request.LastEvent)
