--- a/stand/crsoak/plan.go
+++ b/stand/crsoak/plan.go
@@ -68,7 +68,8 @@
 	// meanPause is the mean pause between two faults of a plan; faults last
 	// longer than that, so that they overlap.
 	meanPause = 700 * time.Millisecond
-	// longest is the longest fault.
+	// longest is the longest fault but for a cut from the store, which lasts
+	// twice as long at most.
 	longest = 4 * time.Second
 	// seriesOf is the chance, in per cent, that a fault comes again at once.
 	seriesOf = 25
@@ -83,6 +84,10 @@
 			At: at, For: time.Duration(random.Int64N(int64(longest))),
 			Action: actions[random.IntN(len(actions))], Target: random.IntN(1 << 16),
 		}
+		if s.Action == StoreCutOne || s.Action == StoreSilence {
+			// Longer than a key may work that was taken away meanwhile.
+			s.For *= 2
+		}
 		steps = append(steps, s)
 		if random.IntN(100) < seriesOf {
 			s.At += time.Duration(random.Int64N(int64(time.Second)))
--- a/stand/crsoak/soak.go
+++ b/stand/crsoak/soak.go
@@ -215,7 +215,7 @@
 		}
 	case StoreCutOne:
 		d.store.set(linkSilent)
-		time.Sleep(2 * s.For)
+		time.Sleep(s.For)
 		d.store.set(linkSound)
 	case RoutingChange:
 		return w.change()
