--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -6,6 +6,7 @@
 package crlink
 
 import (
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -269,9 +270,13 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %s", response.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxSnapshot))
+	reader, err := gzip.NewReader(response.Body)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	data, err := io.ReadAll(io.LimitReader(reader, maxSnapshot))
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	m := &pb.Snapshot{}
 	return m, proto.Unmarshal(data, m)
@@ -298,8 +303,12 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		w.Header().Set("Content-Type", "application/protobuf")
-		if _, err := w.Write(data); err != nil {
+		// Many instances fetch a new version from few, over links that may be
+		// narrow.
+		w.Header().Set("Content-Type", "application/gzip")
+		z := gzip.NewWriter(w)
+		_, err = z.Write(data)
+		if err = errors.Join(err, z.Close()); err != nil {
 			l.Log.Debug("link: a snapshot wasn't taken", zap.Error(err))
 		}
 	})
--- a/io/crwatch/outage.go
+++ b/io/crwatch/outage.go
@@ -10,6 +10,10 @@
 	"crocusrack/core/crroster"
 )
 
+// outageMemory is how long ago the last failure may be for the outage to go on.
+// An instance that stops reading the store doesn't see its return.
+const outageMemory = 4 * time.Second
+
 // failuresOfOutage is how many calls in a row fail in an outage: a single one
 // may have lost its connection.
 const failuresOfOutage = 2
@@ -20,6 +24,8 @@
 	failures int
 	lost     bool
 	since    time.Time
+	// last is when a call failed last.
+	last     time.Time
 	returned time.Time
 }
 
@@ -32,6 +38,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.failures++
+	o.last = time.Now()
 	if o.lost || o.failures < failuresOfOutage {
 		return
 	}
@@ -51,13 +58,26 @@
 		return
 	}
 	o.lost = false
-	if age, ok := w.State.Evidence.Age(w.State.Elapsed()); !ok || age > ownAge {
+	age, ok := w.State.Evidence.Age(w.State.Elapsed())
+	if time.Since(o.last) < outageMemory && (!ok || age > ownAge) {
 		o.returned = time.Now()
 	}
 	w.State.SetSelf(func(s *crroster.Status) { s.StoreLost = false })
 	w.Log.Info("watch: the store is back", zap.Duration("after-ms", time.Since(o.since)))
 }
 
+// idle forgets an outage of which nothing was seen for a while.
+func (w *Watcher) idle() {
+	o := &w.outage
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failures == 0 || time.Since(o.last) < outageMemory {
+		return
+	}
+	o.failures, o.lost = 0, false
+	w.State.SetSelf(func(s *crroster.Status) { s.StoreLost = false })
+}
+
 func (o *outage) isLost() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -142,6 +142,7 @@
 		}
 		if !w.needed(k.evidence(), k.oldest()) {
 			listed = false
+			w.idle()
 			// An ended context is noticed by the loop.
 			_ = crbackoff.Sleep(ctx, idlePause)
 			continue
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -230,6 +230,35 @@
 	})
 }
 
+// TestOldOutageIsForgotten: an instance lost the store for a moment, long ago, and
+// others have watched since. They then reach the store no more, and an endpoint
+// leaves. What this instance finds missing then has left.
+func TestOldOutageIsForgotten(t *testing.T) {
+	s := newStore("llm-1", "llm-2")
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(2 * time.Second)
+		s.do(func() { s.down = true })
+		time.Sleep(4 * time.Second)
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			for i := range 8 {
+				report(t, state, fmt.Sprint("instance-", i+2))
+			}
+		}
+		s.do(func() {
+			s.down = false
+			delete(s.endpoints, "llm-1")
+		})
+		for gone := time.Now(); time.Since(gone) < 3500*time.Millisecond; time.Sleep(200 * time.Millisecond) {
+			for i := range 8 {
+				reportAge(t, state, fmt.Sprint("instance-", i+2), time.Since(gone), time.Since(gone))
+			}
+		}
+		if diff := cmp.Diff([]string{"llm-2"}, endpoints(state)); diff != "" {
+			t.Errorf("endpoints (-want +got):\n%s", diff)
+		}
+	})
+}
+
 // left returns the endpoints without the one that has left.
 func left(t *testing.T) []*crplace.Endpoint {
 	t.Helper()
@@ -243,18 +272,18 @@
 // report lets another instance, which reaches the store, report to the state.
 func report(t *testing.T, state *crgrant.State, name string) {
 	t.Helper()
-	reportAge(t, state, name, durationpb.New(0))
+	reportAge(t, state, name, 0, 0)
 }
 
-func reportAge(t *testing.T, state *crgrant.State, name string, endpointsAge *durationpb.Duration) {
+func reportAge(t *testing.T, state *crgrant.State, name string, routingAge, endpointsAge time.Duration) {
 	t.Helper()
 	m := state.Compose(time.Now(), "")
 	from := &pb.Peer{Name: name, FailureDomain: "noord-" + string('b'+name[len(name)-1]%2), Front: "10.0.0.2:80", Peer: "10.0.0.2:81"}
 	_, err := state.Receive(time.Now(), &pb.Report{
 		From: from, Run: 7, Sequence: m.GetSequence(), Ready: true, RoutingVersion: 3,
-		RoutingAge: durationpb.New(0), Echo: m.GetStamp(), EchoRun: state.Run,
+		RoutingAge: durationpb.New(routingAge), Echo: m.GetStamp(), EchoRun: state.Run,
 		EndpointsRevision: m.GetEndpointsRevision(), OutsRevision: m.GetOutsRevision(),
-		EndpointsAge: endpointsAge, OutsAge: durationpb.New(0),
+		EndpointsAge: durationpb.New(endpointsAge), OutsAge: durationpb.New(0),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -270,7 +299,7 @@
 		gone := time.Now()
 		for time.Since(gone) < 4*time.Second {
 			for i := range 8 {
-				reportAge(t, state, fmt.Sprint("instance-", i+2), durationpb.New(time.Since(gone)))
+				reportAge(t, state, fmt.Sprint("instance-", i+2), 0, time.Since(gone))
 			}
 			if state.Watches(time.Now()) {
 				t.Fatal("this instance watches the store; the test needs one that doesn't")
