Hand the contested time of a shard over with the shard

Cause, traced with the grants of each owner and what a cold engine held when it fell over (TestColdEnginesUnderRestarts, a known red test): 1. An instance that takes a shard over from one that was lost is contested for 4 s. If a third one, just restarted, takes the shard from it in that time, the answer ended the contest there: it granted the whole bound of a cold engine beside the work of the lost owner, or of the second taker. 2. The same from an owner that had heard of its loss before it was asked: it exports what still drains, and no longer knew of the contest. 3. The new owner forgot the work that was handed over at the next report of the engine, also when the report's state was older than the hand-over.

Change: Export tells whether the ownership is contested, from the shard or from the endpoints that drain; Import ends the contest only if it isn't. A report lowers the work of an earlier owner from 200 ms after the hand-over on.

Ruled out: work that the owner of an engine without an epoch lets in (the traces show epoch 0 only after an import that should have been contested).

--- a/core/cradmit/admit.go
+++ b/core/cradmit/admit.go
@@ -195,6 +195,14 @@
 	Prefixes []uint64
 }
 
+// Handover is the state of a shard on its way to another owner.
+type Handover struct {
+	Endpoints []EndpointState
+	// Contested tells that the sender's own ownership was contested: another
+	// instance may still let work in that the sender doesn't know of.
+	Contested bool
+}
+
 // Load is the state of one endpoint.
 type Load struct {
 	Shard    crshard.Key
--- a/core/cradmit/endpoint.go
+++ b/core/cradmit/endpoint.go
@@ -26,6 +26,9 @@
 	// leavingRetry is when a leaving endpoint that gives no reports is tried
 	// again.
 	leavingRetry = 5 * time.Second
+	// arrivalTime is the longest time from a grant to the request's arrival at
+	// the endpoint: one packet may be sent again, after the usual 200 ms.
+	arrivalTime = 200 * time.Millisecond
 )
 
 // endpoint is the state of one endpoint. It outlives its shard while work is
@@ -38,12 +41,17 @@
 	// shard is nil while the endpoint drains; key is its last shard's.
 	shard *shard
 	key   crshard.Key
+	// contestedUntil is the end of the contested time of the last shard of an
+	// endpoint that drains.
+	contestedUntil time.Time
 
 	epoch    uint64
 	inFlight int
 	// foreign is work granted by an earlier owner, until foreignUntil at most.
+	// handedOver is when that owner told of it.
 	foreign      int
 	foreignUntil time.Time
+	handedOver   time.Time
 	// waiting counts the waiters that prefer the endpoint.
 	waiting int
 
--- a/core/cradmit/observe.go
+++ b/core/cradmit/observe.go
@@ -111,6 +111,10 @@
 		e.foreign = foreign
 		e.foreignUntil = now.Add(a.foreignTimeout())
 	}
+	if r.At.Before(e.handedOver.Add(arrivalTime)) {
+		// What the earlier owner let in last may not have arrived by then.
+		return
+	}
 	e.foreign = min(e.foreign, foreign)
 }
 
@@ -162,27 +166,28 @@
 // caller then removes the shard by SetShards. Of a shard that isn't owned here
 // any more it returns the endpoints that still drain: an owner that heard of
 // its loss before the new owner asks has work in flight all the same.
-func (a *Admitter) Export(k crshard.Key) []EndpointState {
+func (a *Admitter) Export(now time.Time, k crshard.Key) Handover {
 	s := a.shards[k]
 	if s == nil {
-		return a.exportDraining(k)
+		return a.exportDraining(now, k)
 	}
-	states := make([]EndpointState, len(s.endpoints))
+	h := Handover{Endpoints: make([]EndpointState, len(s.endpoints)), Contested: s.contested(now)}
 	for i, e := range s.endpoints {
-		states[i] = e.export()
+		h.Endpoints[i] = e.export()
 	}
-	return states
+	return h
 }
 
-func (a *Admitter) exportDraining(k crshard.Key) []EndpointState {
-	var states []EndpointState
+func (a *Admitter) exportDraining(now time.Time, k crshard.Key) Handover {
+	var h Handover
 	for _, e := range a.endpoints {
 		if e.shard == nil && e.key == k {
-			states = append(states, e.export())
+			h.Endpoints = append(h.Endpoints, e.export())
+			h.Contested = h.Contested || now.Before(e.contestedUntil)
 		}
 	}
-	slices.SortFunc(states, func(x, y EndpointState) int { return cmp.Compare(x.Endpoint, y.Endpoint) })
-	return states
+	slices.SortFunc(h.Endpoints, func(x, y EndpointState) int { return cmp.Compare(x.Endpoint, y.Endpoint) })
+	return h
 }
 
 func (e *endpoint) export() EndpointState {
@@ -192,29 +197,33 @@
 	}
 }
 
-// Import takes in what the earlier owner has exported and ends the contest of
-// the shard. The earlier owner's work counts as foreign until reports or
-// ForeignTimeout say that it has ended. States of endpoints that aren't in the
-// shard are ignored.
-func (a *Admitter) Import(now time.Time, k crshard.Key, states []EndpointState) {
+// Import takes in what the earlier owner has exported. It ends the contest of
+// the shard, unless the earlier owner's ownership was contested itself. The
+// earlier owner's work counts as foreign until reports or ForeignTimeout say
+// that it has ended. States of endpoints that aren't in the shard are ignored.
+func (a *Admitter) Import(now time.Time, k crshard.Key, h Handover) {
 	s := a.shards[k]
 	if s == nil {
 		return
 	}
-	for i := range states {
-		if e := a.endpoints[states[i].Endpoint]; e != nil && e.shard == s {
-			e.adopt(&states[i], now.Add(a.foreignTimeout()))
+	for i := range h.Endpoints {
+		st := &h.Endpoints[i]
+		if e := a.endpoints[st.Endpoint]; e != nil && e.shard == s {
+			e.adopt(st, now, now.Add(a.foreignTimeout()))
 		}
 	}
-	s.contestedUntil = time.Time{}
+	if !h.Contested {
+		s.contestedUntil = time.Time{}
+	}
 	a.dispatch(now, s)
 }
 
 // adopt takes over the state from the earlier owner. When a later epoch is
 // known here, only the work in flight counts.
-func (e *endpoint) adopt(st *EndpointState, foreignUntil time.Time) {
+func (e *endpoint) adopt(st *EndpointState, now, foreignUntil time.Time) {
 	e.foreign = max(st.InFlight, 0)
 	e.foreignUntil = foreignUntil
+	e.handedOver = now
 	if st.Epoch < e.epoch {
 		return
 	}
--- a/core/cradmit/shards.go
+++ b/core/cradmit/shards.go
@@ -145,6 +145,9 @@
 	clear(a.owned)
 	a.owned = a.owned[:0]
 	for _, e := range a.endpoints {
+		if e.shard != nil {
+			e.contestedUntil = e.shard.contestedUntil
+		}
 		e.shard = nil
 		e.waiting = 0
 	}
--- a/io/crdaemon/ownership.go
+++ b/io/crdaemon/ownership.go
@@ -88,7 +88,7 @@
 }
 
 // takeOver asks the earlier owner for a shard's state. The contested time ends
-// when it has answered.
+// when it has answered, unless its own ownership is contested.
 func (d *Daemon) takeOver(ctx context.Context, k crshard.Key, previous string) {
 	m, ok := d.fleet.Member(previous)
 	if !ok || m.Peer == (netip.AddrPort{}) {
@@ -110,9 +110,9 @@
 		d.Log.Info("owner: the earlier owner of a shard can't be asked", zap.String("instance", previous), zap.Any("shard", k))
 		return
 	}
-	states := make([]cradmit.EndpointState, len(answer.Endpoints))
+	handover := cradmit.Handover{Endpoints: make([]cradmit.EndpointState, len(answer.Endpoints)), Contested: answer.Contested}
 	for i, e := range answer.Endpoints {
-		states[i] = cradmit.EndpointState{
+		handover.Endpoints[i] = cradmit.EndpointState{
 			Endpoint: e.Endpoint,
 			Epoch:    e.Epoch,
 			InFlight: int(e.InFlight),
@@ -125,7 +125,7 @@
 		// It wasn't the owner: who was is not known, so the time stays contested.
 		return
 	}
-	d.owner.Do(func(a *cradmit.Admitter) { a.Import(time.Now(), k, states) })
+	d.owner.Do(func(a *cradmit.Admitter) { a.Import(time.Now(), k, handover) })
 }
 
 // taker is the instance that a shard was handed over to, until its ownership
@@ -147,7 +147,9 @@
 	defer d.rebalancing.Unlock()
 	now := time.Now()
 	d.owner.Do(func(a *cradmit.Admitter) {
-		for _, e := range a.Export(k) {
+		h := a.Export(now, k)
+		answer.Contested = h.Contested
+		for _, e := range h.Endpoints {
 			answer.Endpoints = append(answer.Endpoints, &pb.EndpointState{
 				Endpoint: e.Endpoint,
 				Epoch:    e.Epoch,
