Keep work from a cold endpoint that comes back into reach

Cause, traced (TestOutWhileCutOff, a known red test): behind a cut the other side takes the shard of an engine over that it can't reach. Its contested time ends while the cut goes on. When the links are back it reaches the engine some 0.5 s before it hears of the instances that served it all the while, and let in one beside their two. Twice it was one request that it had sent before the engine's first report, once one sent right after it.

Change: an endpoint that may be cold gets nothing from an owner that has heard no report since it gained the shard and was last told that the endpoint can't be reached; nor for the length of the contested time after the first report, if that came after the contested time. Endpoints that give no reports at all answer that they don't know the call and are used as before. Import, which settles whose the work is, ends that too.

Test that failed first: TestColdEndpointBehindACut.

--- a/core/cradmit/endpoint.go
+++ b/core/cradmit/endpoint.go
@@ -67,8 +67,14 @@
 	// since is when the endpoint came to this instance, and reportAt the time of
 	// its newest report, which said reportedCold.
 	since time.Time
-	// gained is when its contested time began.
-	gained       time.Time
+	// gained is when its contested time began, zero when its owner has been
+	// told what runs there.
+	gained time.Time
+	// unreached tells that the endpoint was last asked for a report in vain.
+	unreached bool
+	// closedUntil is when an endpoint that may be cold is open to work again that
+	// came back into reach.
+	closedUntil  time.Time
 	reportAt     time.Time
 	reportedCold bool
 	// reportedWarm tells that a report has said that it isn't cold since the
@@ -164,9 +170,27 @@
 }
 
 // unseen tells whether nothing is known of the work that an earlier owner left
-// at an endpoint that may be cold.
-func (e *endpoint) unseen() bool {
-	return !e.reportedWarm && !e.reportAt.After(e.gained)
+// at the endpoint.
+func (e *endpoint) unseen() bool { return !e.reportAt.After(e.gained) }
+
+// closed tells whether an endpoint that may be cold gets nothing, because work
+// may go on there that this owner doesn't know of.
+func (e *endpoint) closed(now time.Time, contested bool) bool {
+	if e.reportedWarm {
+		return false
+	}
+	return e.unseen() && (contested || e.unreached) || now.Before(e.closedUntil)
+}
+
+// reach takes in that a report of the endpoint has come. When it is the first
+// since the shard came here, and the contested time is over, a cut has ended:
+// for as long as that time lasted, the endpoint may still get work from the
+// other side.
+func (e *endpoint) reach(now time.Time) {
+	if e.shard == nil || e.gained.IsZero() || !e.unseen() || e.shard.contested(now) {
+		return
+	}
+	e.closedUntil = now.Add(e.shard.contestedUntil.Sub(e.gained))
 }
 
 // reports tells whether the endpoint gives reports, or is so new here that none
--- a/core/cradmit/handover_test.go
+++ b/core/cradmit/handover_test.go
@@ -67,6 +67,33 @@
 	}
 }
 
+// TestColdEndpointBehindACut covers an owner that has taken a shard over behind
+// a cut. When the links are back it reaches the endpoints before it hears of the
+// instances that have served them all the while.
+func TestColdEndpointBehindACut(t *testing.T) {
+	const contested = 4 * time.Second
+	a := admitter(1, 8, 2, 1)
+	a.Contest(start, key, start.Add(contested))
+	granted := func(now time.Time) bool { return a.Admit(now, request(1)).Verdict == Granted }
+
+	now := start.Add(3 * contested)
+	a.Unreached("engine-00")
+	if granted(now) {
+		t.Error("work was let in at a cold endpoint that can't be reached")
+	}
+	report := Report{Endpoint: "engine-00", At: now, Epoch: 1, Cold: true}
+	a.Observe(now, report)
+	if granted(now) {
+		t.Error("work was let in at a cold endpoint as soon as it was back in reach")
+	}
+	now = now.Add(contested)
+	report.At = now
+	a.Observe(now, report)
+	if !granted(now) {
+		t.Error("a cold endpoint got nothing when the contested time was over")
+	}
+}
+
 // TestOldReportKeepsHandedOverWork covers a report that is as old as the
 // hand-over of a shard: it doesn't show what the earlier owner let in last.
 func TestOldReportKeepsHandedOverWork(t *testing.T) {
--- a/core/cradmit/observe.go
+++ b/core/cradmit/observe.go
@@ -76,6 +76,8 @@
 	if e == nil || !r.At.After(e.reportAt) {
 		return
 	}
+	e.reach(now)
+	e.unreached = false
 	e.reportAt = r.At
 	e.learnEpoch(r.Epoch)
 	if r.Epoch != e.epoch && r.Epoch != 0 {
@@ -100,6 +102,15 @@
 	a.dispatch(now, e.shard)
 }
 
+// Unreached tells that an endpoint couldn't be asked for its report. One that
+// may be cold, and has given none since its shard came here, gets nothing until
+// it does.
+func (a *Admitter) Unreached(endpoint string) {
+	if e := a.endpoints[endpoint]; e != nil {
+		e.unreached = true
+	}
+}
+
 // observeForeign compares the report with the grants that are older than it.
 func (a *Admitter) observeForeign(now time.Time, e *endpoint, r *Report) {
 	contested := e.shard.contested(now)
@@ -213,7 +224,7 @@
 		}
 	}
 	if !h.Contested {
-		s.contestedUntil = time.Time{}
+		s.settle()
 	}
 	a.dispatch(now, s)
 }
--- a/core/cradmit/place.go
+++ b/core/cradmit/place.go
@@ -27,6 +27,7 @@
 	// perCapacity is the load multiple times the mean, in requests per unit of
 	// capacity.
 	perCapacity float64
+	now         time.Time
 	contested   bool
 }
 
@@ -40,7 +41,7 @@
 		multiple = DefaultLoadMultiple
 	}
 	multiple *= fallAllowance
-	return view{perCapacity: multiple * a.mean(now, s, more), contested: s.contested(now)}
+	return view{perCapacity: multiple * a.mean(now, s, more), now: now, contested: s.contested(now)}
 }
 
 // mean returns the mean demand per unit of capacity: the lower of the fleet-wide
@@ -88,7 +89,7 @@
 
 // boundAt returns the bound for some warm-up limit.
 func (v view) boundAt(e *endpoint, limit int) int {
-	if e.leaving || v.contested && e.unseen() {
+	if e.leaving || e.closed(v.now, v.contested) {
 		return 0
 	}
 	b := math.Ceil(v.perCapacity*float64(e.capacity) - rounding)
--- a/core/cradmit/shards.go
+++ b/core/cradmit/shards.go
@@ -115,6 +115,14 @@
 	return own + foreign
 }
 
+// settle ends the contested time: the earlier owner has told what it let in.
+func (s *shard) settle() {
+	s.contestedUntil = time.Time{}
+	for _, e := range s.endpoints {
+		e.gained = time.Time{}
+	}
+}
+
 func (s *shard) contested(now time.Time) bool { return now.Before(s.contestedUntil) }
 
 // maxWaiting is the most that may wait in the shard.
@@ -230,17 +238,19 @@
 // Contest allows this owner half of every bound of the shard until the given
 // time, because another instance may still act as its owner. What reports show
 // beyond the grants is taken for that one's, and both together stay within the
-// bound. A time that isn't after now ends
-// that. The earlier and the new owner both call it. An endpoint with a bound of
+// bound. The earlier and the new owner both call it. An endpoint with a bound of
 // 1 gets nothing from either, and one that may be cold gets nothing before a
-// report tells what runs there: requests of an owner that is gone may go on.
-// Import ends it.
+// report tells what runs there: requests of an owner that is gone may go on. A
+// time that isn't after now ends the contest, and so does Import.
 func (a *Admitter) Contest(now time.Time, k crshard.Key, until time.Time) {
 	s := a.shards[k]
 	if s == nil {
 		return
 	}
-	if !s.contested(now) {
+	switch {
+	case !until.After(now):
+		s.settle()
+	case !s.contested(now):
 		for _, e := range s.endpoints {
 			e.gained = now
 		}
--- a/io/crdaemon/loop.go
+++ b/io/crdaemon/loop.go
@@ -11,6 +11,7 @@
 	"crocusrack/core/cradmit"
 	"crocusrack/core/crexecution"
 	"crocusrack/core/crshard"
+	"crocusrack/io/crendpoint"
 	"crocusrack/schema/crcaller"
 	"crocusrack/schema/crcatalogue"
 	"crocusrack/schema/crplatform"
@@ -101,6 +102,9 @@
 	r, err := d.probes.Report(ctx, e.Address, engine)
 	if err != nil {
 		d.Log.Debug("owner: an endpoint gives no report", zap.String("endpoint", e.Name), zap.Error(err))
+		if crendpoint.Unreached(err) {
+			d.owner.Do(func(a *cradmit.Admitter) { a.Unreached(e.Name) })
+		}
 		return
 	}
 	d.owner.Do(func(a *cradmit.Admitter) {
--- a/io/crendpoint/endpoint.go
+++ b/io/crendpoint/endpoint.go
@@ -140,6 +140,13 @@
 	return response.Msg, nil
 }
 
+// Unreached reports whether an error of a report means that nothing answered.
+// An endpoint that gives no reports answers that it doesn't know the call.
+func Unreached(err error) bool {
+	code := connect.CodeOf(err)
+	return code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded
+}
+
 // Cancel asks a model engine to stop a request, unless a later attempt has
 // taken it over.
 func (c *Client) Cancel(ctx context.Context, at netip.AddrPort, requestID string, attempt uint32) error {
