Send peers only the endpoints that changed

Cause: each change of one endpoint is fetched by every instance as the list of all.

Change: an instance keeps the ids that its last 16 revisions of the endpoints changed, and answers a fetch that names its revision with those. The receiver compares a fingerprint of the result with the sender's, and fetches all when they differ: two watchers may have read the store at other times. What changed more than half of the endpoints is sent whole.

TestOneChangeIsSmall failed first: one change among 100 endpoints took over 300 bytes, and grows with them; now it is below at 100 and 3,000. TestChangesLeadToTheSame plays 400 revisions over two sources.

--- /dev/null
+++ b/core/crgrant/change_test.go
@@ -0,0 +1,125 @@
+package crgrant_test
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
+	pb "crocusrack/schema/crrouter"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
+)
+
+// whole returns all endpoints of an instance.
+func whole(n *node) *pb.Snapshot { return n.Snapshot(start, math.MaxUint64, 0, math.MaxUint64) }
+
+// fetch lets one instance adopt what another has more, and returns the message.
+func fetch(n, from *node, endpoints uint64) (*pb.Snapshot, error) {
+	routing, _, outs := n.Have()
+	m := from.Snapshot(start, routing, endpoints, outs)
+	return m, n.Adopt(start, m)
+}
+
+// TestChangesLeadToTheSame: an instance that fetches now and then, from either of
+// two that follow the store, has their endpoints each time.
+func TestChangesLeadToTheSame(t *testing.T) {
+	r := rand.New(rand.NewPCG(20261204, 0))
+	sources := []*node{newNode(1), newNode(2)}
+	n := newNode(3)
+	there := make(map[string]*crplace.Endpoint)
+	partial := 0
+	for revision := uint64(1); revision < 400; revision++ {
+		id := fmt.Sprint("engine-", r.IntN(60))
+		if there[id] != nil && r.IntN(3) == 0 {
+			delete(there, id)
+		} else {
+			e := *endpoint(t, id)
+			e.Draining = r.IntN(4) == 0
+			there[id] = &e
+		}
+		var list []*crplace.Endpoint
+		for _, e := range there {
+			list = append(list, e)
+		}
+		for _, s := range sources {
+			if r.IntN(2) == 0 {
+				s.SetEndpoints(start, revision, list)
+			}
+		}
+		if r.IntN(4) > 0 {
+			continue
+		}
+		from := sources[r.IntN(2)]
+		_, have, _ := n.Have()
+		m, err := fetch(n, from, have)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m.Endpoints == nil {
+			continue
+		}
+		if m.GetEndpoints().GetPartial() {
+			partial++
+		}
+		sorted := protocmp.SortRepeated(func(a, b *pb.Endpoint) bool { return a.GetId() < b.GetId() })
+		ignored := protocmp.IgnoreFields(&pb.Endpoints{}, "revision")
+		if diff := cmp.Diff(whole(from), whole(n), protocmp.Transform(), sorted, ignored); diff != "" {
+			t.Fatalf("endpoints at revision %d differ (-source +fetched):\n%s", revision, diff)
+		}
+	}
+	if partial == 0 {
+		t.Error("no fetch was of changes only")
+	}
+}
+
+// TestOtherEndpointsAreFetchedWhole: changes don't lead to the sender's endpoints
+// when the receiver's were others than the sender's at that revision.
+func TestOtherEndpointsAreFetchedWhole(t *testing.T) {
+	a, b := newNode(1), newNode(2)
+	var list []*crplace.Endpoint
+	for i := range 8 {
+		list = append(list, endpoint(t, fmt.Sprint("engine-", i)))
+	}
+	a.SetEndpoints(start, 5, list)
+	b.SetEndpoints(start, 5, append([]*crplace.Endpoint{endpoint(t, "kept")}, list...))
+	a.SetEndpoints(start, 6, append(list[:8:8], endpoint(t, "new")))
+	if _, err := fetch(b, a, 5); !errors.Is(err, crgrant.ErrIncomplete) {
+		t.Fatalf("adopting gave %v, want %v", err, crgrant.ErrIncomplete)
+	}
+	if _, err := fetch(b, a, 0); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(whole(a), whole(b), protocmp.Transform()); diff != "" {
+		t.Errorf("endpoints differ (-sender +receiver):\n%s", diff)
+	}
+}
+
+// TestOneChangeIsSmall: what one endpoint's change costs doesn't grow with the
+// fleet.
+func TestOneChangeIsSmall(t *testing.T) {
+	const most = 300 // bytes
+	for _, count := range []int{100, 3000} {
+		n := newNode(1)
+		var list []*crplace.Endpoint
+		for i := range count {
+			list = append(list, endpoint(t, fmt.Sprint("engine-", i)))
+		}
+		n.SetEndpoints(start, 5, list)
+		changed := *list[7]
+		changed.Draining = true
+		list = append([]*crplace.Endpoint{}, list...)
+		list[7] = &changed
+		n.SetEndpoints(start.Add(time.Second), 6, list)
+		if size := proto.Size(n.Snapshot(start, math.MaxUint64, 5, math.MaxUint64)); size > most {
+			t.Errorf("one change among %d endpoints takes %d bytes, want at most %d", count, size, most)
+		}
+	}
+}
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -70,8 +70,11 @@
 
 	endpoints         []*crplace.Endpoint
 	endpointsRevision uint64
-	outs              map[string]bool
-	outsRevision      uint64
+	// endpointsPrint identifies the endpoints.
+	endpointsPrint uint64
+	changes        changes
+	outs           map[string]bool
+	outsRevision   uint64
 
 	reports reports
 	now     time.Time
@@ -330,7 +333,8 @@
 	if revision <= s.endpointsRevision {
 		return false
 	}
-	s.endpoints, s.endpointsRevision = list, revision
+	s.changes.note(s.endpointsRevision, revision, s.endpoints, list)
+	s.endpoints, s.endpointsRevision, s.endpointsPrint = list, revision, fingerprint(list)
 	s.placer.SetEndpoints(list)
 	there := func(k crledger.Key) bool { return s.placer.Endpoint(k) != nil }
 	s.cold.Forget(there)
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -296,10 +296,7 @@
 		m.Routing = s.routing
 	}
 	if s.endpointsRevision > endpoints {
-		m.Endpoints = &pb.Endpoints{Revision: s.endpointsRevision}
-		for _, e := range s.endpoints {
-			m.Endpoints.Endpoints = append(m.Endpoints.Endpoints, endpointProto(now, e))
-		}
+		m.Endpoints = s.changed(now, endpoints)
 	}
 	if s.outsRevision > outs {
 		m.Outs = &pb.Outs{Revision: s.outsRevision}
@@ -310,19 +307,16 @@
 	return m
 }
 
-// Adopt takes what is newer in a peer's snapshot.
+// Adopt takes what is newer in a peer's snapshot. It returns ErrIncomplete when
+// the endpoints have to be fetched whole.
 func (s *State) Adopt(now time.Time, m *pb.Snapshot) error {
 	if m.Routing != nil {
 		s.SetRouting(m.GetRouting())
 	}
 	if m.Endpoints != nil {
-		var list []*crplace.Endpoint
-		for _, e := range m.GetEndpoints().GetEndpoints() {
-			endpoint, err := NewEndpoint(now, e)
-			if err != nil {
-				return fmt.Errorf("snapshot: %w", err)
-			}
-			list = append(list, endpoint)
+		list, err := s.merge(now, m.GetEndpoints())
+		if err != nil {
+			return err
 		}
 		s.SetEndpoints(now, m.GetEndpoints().GetRevision(), list)
 	}
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -220,9 +220,11 @@
 func (l *Link) fetch(ctx context.Context, from crroster.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	m, err := l.get(ctx, from, false)
-	if err == nil {
-		err = l.State.Adopt(time.Now(), m)
+	_, have, _ := l.State.Have()
+	err := l.adopt(ctx, from, have)
+	if errors.Is(err, crgrant.ErrIncomplete) {
+		l.Log.Info("link: the endpoints are fetched whole", zap.String("instance", from.Name), zap.Uint64("endpoints-revision", have), zap.Error(err))
+		err = l.adopt(ctx, from, 0)
 	}
 	if err != nil {
 		l.Log.Warn("link: a peer's snapshot can't be had", zap.String("instance", from.Name), zap.Error(err))
@@ -234,12 +236,23 @@
 	l.Adopted(from.Name)
 }
 
+// adopt takes what is newer at a peer than what is here, and than a revision of
+// the endpoints.
+func (l *Link) adopt(ctx context.Context, from crroster.Instance, endpoints uint64) error {
+	m, err := l.get(ctx, from, endpoints, false)
+	if err != nil {
+		return err
+	}
+	return l.State.Adopt(time.Now(), m)
+}
+
 // fetchContexts takes what endpoints hold from a peer. One that has just started
 // itself knows nothing; another is asked then.
 func (l *Link) fetchContexts(ctx context.Context, from crroster.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	m, err := l.get(ctx, from, true)
+	_, have, _ := l.State.Have()
+	m, err := l.get(ctx, from, have, true)
 	if err != nil {
 		l.contexts.Store(false)
 		l.Log.Warn("link: a peer's contexts can't be had", zap.String("instance", from.Name), zap.Error(err))
@@ -254,8 +267,8 @@
 	l.Log.Info("link: took over a peer's contexts", zap.String("instance", from.Name), zap.Int("contexts", count))
 }
 
-func (l *Link) get(ctx context.Context, from crroster.Instance, contexts bool) (*pb.Snapshot, error) {
-	routing, endpoints, outs := l.State.Have()
+func (l *Link) get(ctx context.Context, from crroster.Instance, endpoints uint64, contexts bool) (*pb.Snapshot, error) {
+	routing, _, outs := l.State.Have()
 	url := fmt.Sprintf("http://%s%s?routing=%d&endpoints=%d&outs=%d&contexts=%t",
 		from.Peer, snapshotPath, routing, endpoints, outs, contexts)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/io/crwatch/kinds.go
+++ b/io/crwatch/kinds.go
@@ -125,15 +125,11 @@
 	k.w.apply(at, list)
 }
 
-// coldTolerance is how far two notes of when an endpoint is warm may lie apart
-// and be the same.
-const coldTolerance = 500 * time.Millisecond
-
 // sameEndpoint reports whether two entries say the same but for the time that
 // has passed between them.
 func sameEndpoint(a, b *pb.Endpoint) bool {
 	if (a.GetColdLeft().AsDuration() > 0) != (b.GetColdLeft().AsDuration() > 0) ||
-		b.GetColdLeft().AsDuration() > a.GetColdLeft().AsDuration()+coldTolerance {
+		b.GetColdLeft().AsDuration() > a.GetColdLeft().AsDuration()+crgrant.ColdTolerance {
 		return false
 	}
 	x, y := proto.CloneOf(a), proto.CloneOf(b)
