Don't repeat a change of the catalogue to a failure domain that has it

Cause: each instance that fetched a change told all instances of its failure domain at once, though the sender had told them all. In a domain of 100 that is 10,000 reports a change.

Change: in a large fleet an instance tells its domain at once of news from another domain only, and when it becomes ready; a relay tells the other domains as before. Fleets of up to 16 go on as before.

TestTellsOn failed first for the own domain of a large fleet.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -366,6 +366,14 @@
 	set(&s.roster.Status)
 }
 
+// Ready reports whether this instance says that it takes requests.
+func (s *State) Ready() bool {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.Status.Ready
+}
+
 // Fronts returns the addresses for a caller in a failure domain.
 func (s *State) Fronts(now time.Time, domain string) []netip.AddrPort {
 	s.lock(now)
@@ -373,6 +381,14 @@
 	return s.roster.Fronts(now, domain)
 }
 
+// TellsOn reports whether the own failure domain has to be told at once of what
+// was learned from an instance.
+func (s *State) TellsOn(now time.Time, from string) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.TellsOn(now, from)
+}
+
 // Watches reports whether this instance is to watch the store.
 func (s *State) Watches(now time.Time) bool {
 	s.lock(now)
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -167,6 +167,14 @@
 // Large reports whether the fleet is one in which domains exchange digests.
 func (r *Roster) Large(now time.Time) bool { return r.Size(now) > smallFleet }
 
+// TellsOn reports whether this instance has to tell its failure domain at once
+// what it learned from another. In a large fleet that is only so of news from
+// another domain: those of the own one have told all instances there.
+func (r *Roster) TellsOn(now time.Time, from string) bool {
+	e := r.peers[from]
+	return e == nil || e.FailureDomain != r.Self.FailureDomain || !r.Large(now)
+}
+
 // Heard returns the status of an instance and when it was last heard.
 func (r *Roster) Heard(name string) (Status, time.Time) {
 	if e := r.peers[name]; e != nil {
--- a/core/crroster/roster_test.go
+++ b/core/crroster/roster_test.go
@@ -120,3 +120,25 @@
 		t.Errorf("%d targets after a minute, want none", got)
 	}
 }
+
+// TestTellsOn: a change that reaches a large failure domain is told there once,
+// not by each instance to each.
+func TestTellsOn(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		size int
+		from int
+		want bool
+	}{
+		{"small fleet, own domain", 7, 3, true},
+		{"small fleet, other domain", 7, 1, true},
+		{"large fleet, own domain", 58, 3, false},
+		{"large fleet, other domain", 58, 1, true},
+		{"large fleet, unknown instance", 58, 99, true},
+	} {
+		r := fleet(c.size)
+		if got := r.TellsOn(start, instance(c.from).Name); got != c.want {
+			t.Errorf("%s: %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -74,10 +74,14 @@
 // TellAll sends reports at once, to other failure domains too: a version
 // changed.
 func (l *Link) TellAll() {
-	l.digest.Store(true)
+	l.TellDomains()
 	l.Tell()
 }
 
+// TellDomains tells other failure domains at once, if this instance is the relay
+// of its own.
+func (l *Link) TellDomains() { l.digest.Store(true) }
+
 // Tell sends reports at once: others wait for what has changed.
 func (l *Link) Tell() {
 	l.init()
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -158,7 +158,7 @@
 		Packets: packets,
 		HTTP:    r.peers,
 		Log:     r.Log,
-		Adopted: func(string) { r.changed() },
+		Adopted: r.adopted,
 	}
 	r.link.SetSeeds(s.Seeds)
 	r.Watcher.State = r.state
@@ -197,6 +197,15 @@
 	r.link.TellAll()
 }
 
+// adopted is called after something that an instance told came into force.
+func (r *Router) adopted(from string) {
+	if r.ready() == r.state.Ready() && !r.state.TellsOn(time.Now(), from) {
+		r.link.TellDomains()
+		return
+	}
+	r.changed()
+}
+
 // ready reports whether this instance takes requests from new callers.
 func (r *Router) ready() bool {
 	if r.leaving.Load() || r.state.Table() == nil {
