Keep evidence fresh in large failure domains

Cause: in a failure domain of 100 instances each reports to each only every 0.8 s. What the watchers know of the store's age passes through the relay of each domain, and may be 3 s old where it arrives; from 2.3 s on an instance reads the store by itself.

Change: reports go out in ticks of 200 ms. The watchers and the relay of a domain exchange one with each instance of it at each tick, all others at every fourth (for 100; at every one up to 47). Contexts are told for as many ticks longer.

TestEvidenceCrossesDomains, made to play 225 instances whose watchers know of the store what was 0.6 s ago, failed first: up to 3 s old. Now below 2.3.

--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -87,7 +87,7 @@
 			if f.down[name] {
 				continue
 			}
-			for _, i := range n.Targets(f.now) {
+			for _, i := range n.Due(f.now) {
 				f.deliver(name, i.Name, n.Compose(f.now, i.Name))
 			}
 			if f.now.Sub(start)%crgrant.DigestInterval != 0 {
@@ -169,19 +169,31 @@
 	}
 }
 
-// TestEvidenceCrossesDomains: one instance reads the store; the others' evidence
-// stays younger than what sends them to the store by themselves.
+// TestEvidenceCrossesDomains: the watchers read the store; the others' evidence
+// stays younger than what sends them to the store by themselves, however many
+// they are.
 func TestEvidenceCrossesDomains(t *testing.T) {
-	f := newFleet(t, 30)
-	f.run(4 * time.Second)
-	reader := f.nodes["instance-8"]
-	for range 10 {
-		reader.Evidence.Read(reader.elapsed)
-		f.run(600 * time.Millisecond)
-	}
-	for _, name := range f.names {
-		if got := age(t, f.nodes[name]); got > 2300*time.Millisecond {
-			t.Errorf("evidence of %s is %s old", name, got)
+	for _, size := range []int{30, 225} {
+		f := newFleet(t, size)
+		f.run(4 * time.Second)
+		oldest := time.Duration(0)
+		for i := range 12 {
+			if i%3 == 0 {
+				for _, n := range f.nodes {
+					if n.Watches(f.now) {
+						n.Evidence.Read(n.elapsed - 600*time.Millisecond)
+					}
+				}
+			}
+			f.run(200 * time.Millisecond)
+			for _, name := range f.names {
+				if i > 5 {
+					oldest = max(oldest, age(t, f.nodes[name]))
+				}
+			}
+		}
+		if oldest > 2300*time.Millisecond {
+			t.Errorf("%d instances: evidence is up to %s old", size, oldest)
 		}
 	}
 }
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -206,7 +206,7 @@
 	if !until.IsZero() {
 		m.Reading = durationpb.New(until.Sub(now))
 	}
-	s.reports.context(now, m)
+	s.reports.context(now, m, s.roster.Every())
 }
 
 func (s *State) urgent() {
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	// contextRepeat is how long a context is told: in two or three reports, as
-	// datagrams get lost.
+	// contextRepeat is how long a context is told where reports come at each
+	// tick: in two or three of them, as datagrams get lost.
 	contextRepeat = 450 * time.Millisecond
-	// maxContexts and maxWork bound a report to what fits in few datagrams.
+	// maxContexts, for each tick that a report is for, and maxWork bound a report
+	// to what fits in few datagrams.
 	maxContexts = 24
 	maxWork     = 200
 	// checkpointAge is how long ago a context was last of use to be told to an
@@ -54,11 +55,12 @@
 	stamp time.Duration
 }
 
-func (r *reports) context(now time.Time, c *pb.Context) {
+// context keeps a context for the reports of so many ticks each.
+func (r *reports) context(now time.Time, c *pb.Context, every int) {
 	r.recent = slices.DeleteFunc(r.recent, func(o recentContext) bool {
-		return now.Sub(o.at) > contextRepeat || o.GetChain() == c.GetChain() && o.GetEndpoint() == c.GetEndpoint()
+		return now.Sub(o.at) > contextRepeat*time.Duration(every) || o.GetChain() == c.GetChain() && o.GetEndpoint() == c.GetEndpoint()
 	})
-	if len(r.recent) < maxContexts {
+	if len(r.recent) < maxContexts*every {
 		r.recent = append(r.recent, recentContext{now, c})
 	}
 }
@@ -70,6 +72,13 @@
 	return s.roster.Targets(now)
 }
 
+// Due returns the instances to send reports to at one tick.
+func (s *State) Due(now time.Time) []crroster.Instance {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Due(now)
+}
+
 // Add notes an instance that the store or a peer named.
 func (s *State) Add(now time.Time, i crroster.Instance) bool {
 	s.lock(now)
@@ -110,7 +119,7 @@
 		}
 	}
 	for _, c := range s.reports.recent {
-		if now.Sub(c.at) <= contextRepeat {
+		if now.Sub(c.at) <= contextRepeat*time.Duration(s.roster.Every()) {
 			m.Contexts = append(m.Contexts, c.Context)
 		}
 	}
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -19,8 +19,9 @@
 	// SilentAfter is when a silent instance is taken for lost: callers aren't
 	// told of it, and another takes its duties.
 	SilentAfter = 900 * time.Millisecond
-	// reportInterval is the pause between reports to fewTargets targets.
-	reportInterval = 200 * time.Millisecond
+	// ReportInterval is the pause between the ticks at which reports are sent, and
+	// fewTargets the most targets that all get one at each tick.
+	ReportInterval = 200 * time.Millisecond
 	fewTargets     = 24
 	// missedReports is how many reports of an instance get lost before it is
 	// taken for lost.
@@ -83,13 +84,15 @@
 	peers map[string]*entry
 	// silentAfter is SilentAfter, or more where reports come less often.
 	silentAfter time.Duration
+	// every is how many ticks lie between two reports to most targets, tick
+	// counts the ticks.
+	every int
+	tick  uint64
 }
 
-// Interval is the pause between reports to so many targets: it grows with them,
-// so that the bytes of one instance don't.
-func Interval(targets int) time.Duration {
-	return reportInterval * time.Duration(max(1, targets/fewTargets))
-}
+// every is how many ticks lie between two reports to each of so many targets: it
+// grows with them, so that the bytes of one instance don't.
+func every(targets int) int { return max(1, targets/fewTargets) }
 
 // Add notes an instance that somebody named. It counts as alive only once it
 // reports by itself.
@@ -206,13 +209,7 @@
 	if !r.Large(now) {
 		return false
 	}
-	own := relayScore(r.Self)
-	for _, e := range r.peers {
-		if e.relay < own && e.FailureDomain == r.Self.FailureDomain && r.alive(now, e) {
-			return false
-		}
-	}
-	return true
+	return r.relay(now) == r.Self.Name
 }
 
 // Digests returns the instances to send a digest to: the relay of each other
@@ -256,11 +253,42 @@
 			list = append(list, e.Instance)
 		}
 	}
-	r.silentAfter = time.Duration(missedReports * float64(Interval(len(list))))
+	r.every = every(len(list))
+	r.silentAfter = time.Duration(missedReports * float64(r.every) * float64(ReportInterval))
 	slices.SortFunc(list, byName)
 	return list
 }
 
+// Due returns the targets of the reports of one tick. In a large failure domain
+// most get one at some ticks only. The relay and those that watch the store
+// exchange reports with all at each: what they say of the store has to be fresh.
+func (r *Roster) Due(now time.Time) []Instance {
+	list := r.Targets(now)
+	r.tick++
+	if r.every == 1 || r.Relays(now) || r.Watches(now) {
+		return list
+	}
+	watchers, relay := r.watchers(now), r.relay(now)
+	return slices.DeleteFunc(list, func(i Instance) bool {
+		fresh := i.Name == relay || slices.ContainsFunc(watchers, func(c candidate) bool { return c.Name == i.Name })
+		return !fresh && (r.tick+crhash.Of(i.Name))%uint64(r.every) != 0
+	})
+}
+
+// Every is how many ticks lie between two reports to most targets.
+func (r *Roster) Every() int { return max(1, r.every) }
+
+// relay returns the name of the relay of the own failure domain.
+func (r *Roster) relay(now time.Time) string {
+	name, first := r.Self.Name, relayScore(r.Self)
+	for _, e := range r.peers {
+		if e.relay < first && e.FailureDomain == r.Self.FailureDomain && r.alive(now, e) {
+			name, first = e.Name, e.relay
+		}
+	}
+	return name
+}
+
 // Known returns all instances that were heard or named lately, by name.
 func (r *Roster) Known() []Instance {
 	var list []Instance
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -105,6 +105,7 @@
 	defer digests.Stop()
 	lastSeeds, lastDigest := time.Time{}, time.Time{}
 	for {
+		due := l.State.Due
 		select {
 		case <-ctx.Done():
 			l.Packets.Close()
@@ -115,9 +116,10 @@
 			continue
 		case <-timer.C:
 		case <-l.now:
+			due = l.State.Targets
 		}
 		now := time.Now()
-		targets := l.State.Targets(now)
+		targets := due(now)
 		for _, i := range targets {
 			l.send(i.Peer, l.State.Compose(now, i.Name))
 		}
@@ -127,7 +129,7 @@
 				l.send(a, l.State.Compose(now, ""))
 			}
 		}
-		timer.Reset(crroster.Interval(len(targets)))
+		timer.Reset(crroster.ReportInterval)
 	}
 }
 
