Let no relay carry a large domain's digests alone

Cause: a relay sends the digests of other domains to each instance of its own. Half of a digest names members that seldom change; the rest names each endpoint by 8 bytes and a message.

Change: - Members are named when they changed within 1.1 s or weren't for 1.1 s; between, a hash says that they are the same, and how long each was silent. - Work is two packed lists; digests name endpoints by half of the hash. - In a domain of more than 24 the relay sends a digest to one of each 16 instances, which pass it on; others each time, so that a lost one costs others one digest. - Full digests come every 0.4 s in fleets of up to 128, more seldom in larger ones, at least each 0.9 s. Relays exchange evidence between. - Reports that only keep evidence fresh say nothing else.

TestDomainsExchangeDigests also plays 99 instances.

--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -24,10 +25,12 @@
 	down  map[string]bool
 	// crossing counts the bytes between failure domains, inside those within.
 	crossing, inside int
+	// sent counts the bytes by sender.
+	sent map[string]int
 }
 
 func newFleet(t testing.TB, size int) *fleet {
-	f := &fleet{t: t, now: start, nodes: map[string]*node{}, down: map[string]bool{}}
+	f := &fleet{t: t, now: start, nodes: map[string]*node{}, down: map[string]bool{}, sent: map[string]int{}}
 	var list []*crplace.Endpoint
 	for i := range 9 {
 		list = append(list, endpoint(t, fmt.Sprint("llm-", i)))
@@ -59,14 +62,13 @@
 	} else {
 		f.inside += proto.Size(m)
 	}
+	f.sent[from] += proto.Size(m)
 	h, err := receiver.Receive(f.now, proto.CloneOf(m))
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	if h.Forward != nil {
-		for _, i := range receiver.Targets(f.now) {
-			f.deliver(to, i.Name, h.Forward)
-		}
+	for _, d := range h.Forward {
+		f.deliver(to, f.name(d.To), d.Report)
 	}
 	if h.New {
 		reply := receiver.Compose(f.now, from)
@@ -75,6 +77,15 @@
 	}
 }
 
+func (f *fleet) name(peer netip.AddrPort) string {
+	for _, n := range f.nodes {
+		if n.Self.Peer == peer {
+			return n.Self.Name
+		}
+	}
+	return ""
+}
+
 // run lets the fleet exchange reports for a time.
 func (f *fleet) run(d time.Duration) {
 	f.t.Helper()
@@ -87,17 +98,22 @@
 			if f.down[name] {
 				continue
 			}
-			for _, i := range n.Due(f.now) {
-				f.deliver(name, i.Name, n.Compose(f.now, i.Name))
+			for _, d := range n.Due(f.now) {
+				m := n.Compose(f.now, d.Name)
+				if d.Brief {
+					m = n.ComposeBrief(f.now, d.Name)
+				}
+				f.deliver(name, d.Name, m)
 			}
 			if f.now.Sub(start)%crgrant.DigestInterval != 0 {
 				continue
 			}
-			targets, digest := n.Digests(f.now), n.Digest(f.now, true)
+			targets, digest := n.Digests(f.now), n.Digest(f.now, false)
+			if digest == nil {
+				continue
+			}
 			for _, i := range targets {
-				m := n.Compose(f.now, i.Name)
-				m.Work, m.Contexts, m.Unreachable, m.Digest = nil, nil, nil, digest
-				f.deliver(name, i.Name, m)
+				f.deliver(name, i.Name, n.ComposeDigest(f.now, i.Name, digest))
 			}
 		}
 	}
@@ -117,14 +133,20 @@
 // TestDomainsExchangeDigests: in a large fleet each instance knows all others,
 // their work and their contexts, though only relays talk across domains.
 func TestDomainsExchangeDigests(t *testing.T) {
-	f := newFleet(t, 30)
+	for _, size := range []int{30, 99} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { exchangeDigests(t, size) })
+	}
+}
+
+func exchangeDigests(t *testing.T, size int) {
+	f := newFleet(t, size)
 	f.run(4 * time.Second)
 	if got := len(f.relays()); got != 3 {
 		t.Errorf("%d relays in three failure domains: %v", got, f.relays())
 	}
 	for _, name := range f.names {
-		if got := len(f.nodes[name].Alive(f.now)); got != 29 {
-			t.Errorf("%s knows %d others, want 29", name, got)
+		if got := len(f.nodes[name].Alive(f.now)); got != size-1 {
+			t.Errorf("%s knows %d others, want %d", name, got, size-1)
 		}
 	}
 	ask := crgrant.Ask{
@@ -169,10 +191,27 @@
 	}
 }
 
+// TestRelayLoad: what the relay of a large domain sends stays below a tenth of
+// the users' narrowest link, 10 Mbit/s.
+func TestRelayLoad(t *testing.T) {
+	t.Parallel()
+	const most = 125_000 // bytes a second
+	f := newLargeFleet(t, 225)
+	f.run(3 * time.Second)
+	clear(f.sent)
+	f.run(2 * time.Second)
+	for _, name := range f.relays() {
+		if got := f.sent[name] / 2; got > most {
+			t.Errorf("relay %s sends %d bytes a second, want at most %d", name, got, most)
+		}
+	}
+}
+
 // TestEvidenceCrossesDomains: the watchers read the store; the others' evidence
 // stays younger than what sends them to the store by themselves, however many
 // they are.
 func TestEvidenceCrossesDomains(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{30, 225} {
 		f := newFleet(t, size)
 		f.run(4 * time.Second)
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -72,9 +72,11 @@
 	endpointsRevision uint64
 	// endpointsPrint identifies the endpoints.
 	endpointsPrint uint64
-	changes        changes
-	outs           map[string]bool
-	outsRevision   uint64
+	// short are the endpoints by the part of their key that digests have.
+	short        map[uint32]crledger.Key
+	changes      changes
+	outs         map[string]bool
+	outsRevision uint64
 
 	reports reports
 	now     time.Time
@@ -336,6 +338,10 @@
 	s.changes.note(s.endpointsRevision, revision, s.endpoints, list)
 	s.endpoints, s.endpointsRevision, s.endpointsPrint = list, revision, fingerprint(list)
 	s.placer.SetEndpoints(list)
+	s.short = make(map[uint32]crledger.Key, len(list))
+	for _, e := range list {
+		s.short[shortKey(e.Key)] = e.Key
+	}
 	there := func(k crledger.Key) bool { return s.placer.Endpoint(k) != nil }
 	s.cold.Forget(there)
 	s.reads.Forget(there)
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -42,6 +42,14 @@
 	relayed []recentContext
 	// digested and digestedFull are when the last digests were made.
 	digested, digestedFull time.Time
+	// members identifies the own domain's members, which changed and were named
+	// in a digest at times.
+	members                     uint64
+	membersChanged, membersTold time.Time
+	// told are the members of other domains.
+	told map[string]toldMembers
+	// forwards counts the digests that were passed to the own domain.
+	forwards uint64
 }
 
 type recentContext struct {
@@ -73,7 +81,7 @@
 }
 
 // Due returns the instances to send reports to at one tick.
-func (s *State) Due(now time.Time) []crroster.Instance {
+func (s *State) Due(now time.Time) []crroster.Due {
 	s.lock(now)
 	defer s.mu.Unlock()
 	return s.roster.Due(now)
@@ -91,10 +99,50 @@
 func (s *State) Compose(now time.Time, to string) *pb.Report {
 	s.lock(now)
 	defer s.mu.Unlock()
+	m := s.brief(to)
+	m.Brief = false
+	for k, n := range s.work.Own() {
+		if len(m.WorkEndpoints) < maxWork {
+			m.WorkEndpoints = append(m.WorkEndpoints, uint64(k))
+			m.WorkRequests = append(m.WorkRequests, uint32(n))
+		}
+	}
+	for _, c := range s.reports.recent {
+		if now.Sub(c.at) <= contextRepeat*time.Duration(s.roster.Every()) {
+			m.Contexts = append(m.Contexts, c.Context)
+		}
+	}
+	for _, k := range s.health.Ejected(now) {
+		m.Unreachable = append(m.Unreachable, uint64(k))
+	}
+	return m
+}
+
+// ComposeBrief makes a brief report to an instance that others report to as well.
+// It names this one without its addresses.
+func (s *State) ComposeBrief(now time.Time, to string) *pb.Report {
+	s.lock(now)
+	defer s.mu.Unlock()
+	m := s.brief(to)
+	m.From = &pb.Peer{Name: s.Self.Name}
+	return m
+}
+
+// ComposeDigest makes the report that carries a digest to another domain.
+func (s *State) ComposeDigest(now time.Time, to string, d *pb.Digest) *pb.Report {
+	s.lock(now)
+	defer s.mu.Unlock()
+	m := s.brief(to)
+	m.Brief, m.Digest = false, d
+	return m
+}
+
+func (s *State) brief(to string) *pb.Report {
 	s.reports.sequence++
 	reading := s.Elapsed()
 	m := &pb.Report{
 		From:              peerProto(s.Self),
+		Brief:             true,
 		Run:               s.Run,
 		Sequence:          s.reports.sequence,
 		Ready:             s.roster.Status.Ready,
@@ -113,19 +161,6 @@
 	if e := s.reports.peers[to]; e != nil {
 		m.Echo, m.EchoRun = durationpb.New(e.stamp), e.run
 	}
-	for k, n := range s.work.Own() {
-		if len(m.Work) < maxWork {
-			m.Work = append(m.Work, &pb.Work{Endpoint: uint64(k), Requests: uint32(n)})
-		}
-	}
-	for _, c := range s.reports.recent {
-		if now.Sub(c.at) <= contextRepeat*time.Duration(s.roster.Every()) {
-			m.Contexts = append(m.Contexts, c.Context)
-		}
-	}
-	for _, k := range s.health.Ejected(now) {
-		m.Unreachable = append(m.Unreachable, uint64(k))
-	}
 	return m
 }
 
@@ -154,26 +189,29 @@
 	New bool
 	// Behind is true when the sender has something newer.
 	Behind bool
-	// Forward is the digest of another domain, to be sent to all instances of
-	// the own one; nil when there is none.
-	Forward *pb.Report
+	// Forward passes the digest of another domain on to instances of the own one.
+	Forward []Delivery
 }
 
 // Receive takes a report in.
 func (s *State) Receive(now time.Time, m *pb.Report) (Heard, error) {
+	s.lock(now)
+	defer s.mu.Unlock()
+	if m.GetBrief() {
+		return s.receiveBrief(now, m), nil
+	}
 	from, err := peerFromProto(m.GetFrom())
 	if err != nil {
 		return Heard{}, fmt.Errorf("report: %w", err)
 	}
-	s.lock(now)
-	defer s.mu.Unlock()
 	if m.Digest != nil && m.GetDigest().GetFailureDomain() != s.Self.FailureDomain {
 		if err := s.takeDigest(now, m.GetDigest()); err != nil {
 			return Heard{}, fmt.Errorf("digest of %s: %w", from.Name, err)
 		}
 	}
 	if m.GetForwarded() {
-		return Heard{From: from}, nil
+		forward, err := passOn(m)
+		return Heard{From: from, Forward: forward}, err
 	}
 	for _, p := range m.GetPeers() {
 		i, err := peerFromProto(p)
@@ -183,28 +221,51 @@
 		s.roster.Add(now, i)
 	}
 	known := s.roster.IsAlive(now, from.Name, m.GetRun())
-	if !s.roster.Report(now, from, crroster.Status{
-		Run:       m.GetRun(),
-		Sequence:  m.GetSequence(),
-		Ready:     m.GetReady(),
-		Leaving:   m.GetLeaving(),
-		StoreLost: m.GetStoreLost(),
-	}) {
+	if !s.report(now, from, m) {
 		return Heard{From: from}, nil
 	}
-	s.takeEcho(from.Name, m)
 	h := Heard{From: from, New: !known, Behind: s.behind(m)}
 	if m.Digest == nil {
 		s.takeWork(now, from.Name, m)
 		return h, nil
 	}
 	s.roster.Relay(from.Name)
-	if s.roster.Relays(now) {
-		h.Forward = &pb.Report{From: m.GetFrom(), Digest: m.GetDigest(), Forwarded: true}
+	if s.roster.Relays(now) && (m.GetDigest().GetFull() || len(m.GetDigest().GetContexts()) > 0) {
+		h.Forward = s.forward(now, m)
 	}
 	return h, nil
 }
 
+// receiveBrief takes a brief report in. One of an instance that isn't known is of
+// no use: it sends others as well.
+func (s *State) receiveBrief(now time.Time, m *pb.Report) Heard {
+	name := m.GetFrom().GetName()
+	if !s.roster.IsAlive(now, name, m.GetRun()) {
+		return Heard{}
+	}
+	from := s.roster.Instance(name)
+	if !s.report(now, from, m) {
+		return Heard{From: from}
+	}
+	return Heard{From: from, Behind: s.behind(m)}
+}
+
+// report notes what a report says of its sender and of the store. It returns
+// false for one that is older than another.
+func (s *State) report(now time.Time, from crroster.Instance, m *pb.Report) bool {
+	fresh := s.roster.Report(now, from, crroster.Status{
+		Run:       m.GetRun(),
+		Sequence:  m.GetSequence(),
+		Ready:     m.GetReady(),
+		Leaving:   m.GetLeaving(),
+		StoreLost: m.GetStoreLost(),
+	})
+	if fresh {
+		s.takeEcho(from.Name, m)
+	}
+	return fresh
+}
+
 // takeEcho keeps the sender's stamp and takes over its evidence for what is as
 // new here. The echo of a stamp of an earlier run of this process is of no use:
 // the clock may have started anew since.
@@ -229,9 +290,11 @@
 }
 
 func (s *State) takeWork(now time.Time, name string, m *pb.Report) {
-	work := make(map[crledger.Key]int, len(m.GetWork()))
-	for _, w := range m.GetWork() {
-		work[crledger.Key(w.GetEndpoint())] = int(w.GetRequests())
+	work := make(map[crledger.Key]int, len(m.GetWorkEndpoints()))
+	for i, k := range m.GetWorkEndpoints() {
+		if i < len(m.GetWorkRequests()) {
+			work[crledger.Key(k)] = int(m.GetWorkRequests()[i])
+		}
 	}
 	s.work.Report(now, name, work)
 	for _, c := range m.GetContexts() {
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -259,20 +259,31 @@
 	return list
 }
 
+// Due is a target of the reports of one tick. A brief report says how fresh the
+// sender's knowledge is, and not what it works on.
+type Due struct {
+	Instance
+	Brief bool
+}
+
 // Due returns the targets of the reports of one tick. In a large failure domain
-// most get one at some ticks only. The relay and those that watch the store
-// exchange reports with all at each: what they say of the store has to be fresh.
-func (r *Roster) Due(now time.Time) []Instance {
-	list := r.Targets(now)
+// each gets a report at some ticks only. The relay and those that watch the store
+// exchange brief ones with all at the others: what they say of the store has to
+// be fresh.
+func (r *Roster) Due(now time.Time) []Due {
+	targets := r.Targets(now)
 	r.tick++
-	if r.every == 1 || r.Relays(now) || r.Watches(now) {
-		return list
-	}
+	own := r.every > 1 && (r.Relays(now) || r.Watches(now))
 	watchers, relay := r.watchers(now), r.relay(now)
-	return slices.DeleteFunc(list, func(i Instance) bool {
-		fresh := i.Name == relay || slices.ContainsFunc(watchers, func(c candidate) bool { return c.Name == i.Name })
-		return !fresh && (r.tick+crhash.Of(i.Name))%uint64(r.every) != 0
-	})
+	var list []Due
+	for _, i := range targets {
+		brief := (r.tick+crhash.Of(i.Name))%uint64(r.every) != 0
+		fresh := own || i.Name == relay || slices.ContainsFunc(watchers, func(c candidate) bool { return c.Name == i.Name })
+		if fresh || !brief {
+			list = append(list, Due{i, brief})
+		}
+	}
+	return list
 }
 
 // Every is how many ticks lie between two reports to most targets.
@@ -311,6 +322,14 @@
 	return list
 }
 
+// Instance returns a known instance by its name.
+func (r *Roster) Instance(name string) Instance {
+	if e := r.peers[name]; e != nil {
+		return e.Instance
+	}
+	return Instance{}
+}
+
 // IsAlive reports whether an instance reported lately in the given run.
 func (r *Roster) IsAlive(now time.Time, name string, run uint64) bool {
 	e := r.peers[name]
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -103,26 +103,23 @@
 	defer timer.Stop()
 	digests := time.NewTicker(crgrant.ContextInterval)
 	defer digests.Stop()
-	lastSeeds, lastDigest := time.Time{}, time.Time{}
+	lastSeeds := time.Time{}
 	for {
-		due := l.State.Due
+		urgent := false
 		select {
 		case <-ctx.Done():
 			l.Packets.Close()
 			tasks.Wait()
 			return
 		case <-digests.C:
-			l.sendDigests(time.Now(), &lastDigest)
+			l.sendDigests(time.Now())
 			continue
 		case <-timer.C:
 		case <-l.now:
-			due = l.State.Targets
+			urgent = true
 		}
 		now := time.Now()
-		targets := due(now)
-		for _, i := range targets {
-			l.send(i.Peer, l.State.Compose(now, i.Name))
-		}
+		l.report(now, urgent)
 		if len(l.State.Alive(now)) == 0 && now.Sub(lastSeeds) > seedInterval {
 			lastSeeds = now
 			for _, a := range *l.seeds.Load() {
@@ -133,25 +130,36 @@
 	}
 }
 
+// report sends the reports that are due, or one to each target at once.
+func (l *Link) report(now time.Time, urgent bool) {
+	if urgent {
+		for _, i := range l.State.Targets(now) {
+			l.send(i.Peer, l.State.Compose(now, i.Name))
+		}
+		return
+	}
+	for _, d := range l.State.Due(now) {
+		if d.Brief {
+			l.send(d.Peer, l.State.ComposeBrief(now, d.Name))
+		} else {
+			l.send(d.Peer, l.State.Compose(now, d.Name))
+		}
+	}
+}
+
 // sendDigests tells other failure domains of the own one, if this instance is
-// its relay. The digest is full at an interval, and when a version changed.
-func (l *Link) sendDigests(now time.Time, lastFull *time.Time) {
+// its relay.
+func (l *Link) sendDigests(now time.Time) {
 	targets := l.State.Digests(now)
 	if len(targets) == 0 {
 		return
 	}
-	full := now.Sub(*lastFull) >= crgrant.DigestInterval || l.digest.Swap(false)
-	digest := l.State.Digest(now, full)
+	digest := l.State.Digest(now, l.digest.Swap(false))
 	if digest == nil {
 		return
 	}
-	if full {
-		*lastFull = now
-	}
 	for _, i := range targets {
-		m := l.State.Compose(now, i.Name)
-		m.Work, m.Contexts, m.Unreachable, m.Digest = nil, nil, nil, digest
-		l.send(i.Peer, m)
+		l.send(i.Peer, l.State.ComposeDigest(now, i.Name, digest))
 	}
 }
 
@@ -200,10 +208,8 @@
 		l.Log.Warn("link: a report can't be used", zap.Error(err))
 		return
 	}
-	if heard.Forward != nil {
-		for _, i := range l.State.Targets(now) {
-			l.send(i.Peer, heard.Forward)
-		}
+	for _, d := range heard.Forward {
+		l.send(d.To, d.Report)
 	}
 	if heard.New {
 		l.Log.Info("link: an instance reports", zap.String("instance", heard.From.Name), zap.Uint64("run", m.GetRun()))
