Close a connection after a request in chunks

With a length and chunks both, Go's server follows the chunks, drops the length without a trace and takes the rest for the next request: what stood inside the caller's request by its length was run.

Change: the answer to a request in chunks closes its connection, as the standard demands for those with both. Nothing behind it is read.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -136,7 +136,10 @@
 	f.Metrics.InFlight.Add(1)
 	defer f.Metrics.InFlight.Add(-1)
 	x := &exchange{Forwarder: f, incoming: r, writer: w, start: time.Now()}
-	if f.Closing() {
+	// A request with both a length and chunks may have been read to another end
+	// by what stands before this server. Go's server hides the length of such a
+	// one, so nothing after any request in chunks is taken for a request.
+	if f.Closing() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	defer x.finish()
