Introduce a new instance to few, and by few

Change: in a large fleet an instance that hears no other asks for names, and of those that hear it first three tell it of some. They name its own failure domain and two instances of each other one. For 3 s after, each report names two instances that came lately, and relays name two of the domains that the receiver may not know, so that no two that start together stay unknown to each other. Fleets of up to 16 go on as before.

TestIntroductions and TestDomainsExchangeDigests with 99 instances failed on the way, for two instances that never met and for a domain that relays didn't find; 15 repeats of them pass now.

--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -101,6 +101,10 @@
 	defer s.mu.Unlock()
 	m := s.brief(to)
 	m.Brief = false
+	m.Seeking = s.roster.Size(now) == 1
+	for _, i := range s.roster.News(now) {
+		m.Peers = append(m.Peers, peerProto(i))
+	}
 	for k, n := range s.work.Own() {
 		if len(m.WorkEndpoints) < maxWork {
 			m.WorkEndpoints = append(m.WorkEndpoints, uint64(k))
@@ -134,6 +138,11 @@
 	defer s.mu.Unlock()
 	m := s.brief(to)
 	m.Brief, m.Digest = false, d
+	if len(d.GetMembers()) > 0 {
+		for _, i := range s.roster.Contacts(now, s.roster.Instance(to).FailureDomain) {
+			m.Peers = append(m.Peers, peerProto(i))
+		}
+	}
 	return m
 }
 
@@ -172,12 +181,12 @@
 	return durationpb.New(age)
 }
 
-// Introduce returns the report with all instances that this one knows, for one
-// that has just started.
-func (s *State) Introduce(now time.Time, m *pb.Report) {
+// Introduce adds instances that this one knows to a report for one of a failure
+// domain that is new.
+func (s *State) Introduce(now time.Time, domain string, m *pb.Report) {
 	s.lock(now)
 	defer s.mu.Unlock()
-	for _, i := range s.roster.Known() {
+	for _, i := range s.roster.Introduction(now, domain) {
 		m.Peers = append(m.Peers, peerProto(i))
 	}
 }
@@ -187,6 +196,8 @@
 	From crroster.Instance
 	// New is true for the first report of a run of an instance.
 	New bool
+	// Introduce is true when it is to be told of other instances.
+	Introduce bool
 	// Behind is true when the sender has something newer.
 	Behind bool
 	// Forward passes the digest of another domain on to instances of the own one.
@@ -224,7 +235,10 @@
 	if !s.report(now, from, m) {
 		return Heard{From: from}, nil
 	}
-	h := Heard{From: from, New: !known, Behind: s.behind(m)}
+	h := Heard{
+		From: from, New: !known, Behind: s.behind(m),
+		Introduce: !known && s.roster.Introduces(now, from.Name, m.GetSeeking()),
+	}
 	if m.Digest == nil {
 		s.takeWork(now, from.Name, m)
 		return h, nil
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -33,6 +33,15 @@
 	// fleets the instances of a failure domain do, and one of them exchanges
 	// digests with the other domains.
 	smallFleet = 16
+	// introducers is how many instances of a large fleet tell a new one of others
+	// without being asked, and contacts how many instances of each other failure
+	// domain they name: some may be about to end.
+	introducers = 3
+	contacts    = 2
+	// newsFor is how long instances tell of one that is new, newsAtOnce of how
+	// many in one report: some dozens of others do the same at each tick.
+	newsFor    = 3 * time.Second
+	newsAtOnce = 2
 	// forgetAfter is when a silent instance isn't sent reports any more.
 	forgetAfter = 30 * time.Second
 	// watcherCount is how many instances watch the store, in different failure
@@ -300,13 +309,66 @@
 	return name
 }
 
-// Known returns all instances that were heard or named lately, by name.
-func (r *Roster) Known() []Instance {
+// Introduces reports whether this instance tells one that is new of others. In a
+// large fleet three do, and those that it asked.
+func (r *Roster) Introduces(now time.Time, name string, asked bool) bool {
+	return asked || !r.Large(now) || r.Chosen(now, crhash.Mix(crhash.Of(name), crhash.Of("introduce")), introducers)
+}
+
+// Introduction returns the instances that one of a failure domain is told of when
+// it is new, by name: in a large fleet those of its own domain and some of each
+// other one.
+func (r *Roster) Introduction(now time.Time, domain string) []Instance {
+	var list []Instance
+	if r.Large(now) {
+		list = r.Contacts(now, domain)
+	}
+	for _, e := range r.peers {
+		if !r.Large(now) || e.FailureDomain == domain {
+			list = append(list, e.Instance)
+		}
+	}
+	slices.SortFunc(list, byName)
+	return list
+}
+
+// News returns some instances that came lately, others at each tick: of two that
+// start at the same time neither may have been told of the other, and a relay not
+// of another domain.
+func (r *Roster) News(now time.Time) []Instance {
+	if !r.Large(now) {
+		return nil
+	}
 	var list []Instance
 	for _, e := range r.peers {
-		list = append(list, e.Instance)
+		if now.Sub(e.added) < newsFor && (e.FailureDomain == r.Self.FailureDomain || r.alive(now, e)) {
+			list = append(list, e.Instance)
+		}
+	}
+	if len(list) <= newsAtOnce {
+		return list
 	}
 	slices.SortFunc(list, byName)
+	first := int(crhash.Mix(r.tick, crhash.Of(r.Self.Name)) % uint64(len(list)-newsAtOnce+1))
+	return list[first : first+newsAtOnce]
+}
+
+// Contacts returns some instances of each failure domain but this one's and
+// another, live ones if there are any: enough for relays to find each other.
+func (r *Roster) Contacts(now time.Time, except string) []Instance {
+	domains := make(map[string][]*entry)
+	for _, e := range r.peers {
+		if e.FailureDomain != except && e.FailureDomain != r.Self.FailureDomain {
+			domains[e.FailureDomain] = append(domains[e.FailureDomain], e)
+		}
+	}
+	var list []Instance
+	for _, entries := range domains {
+		slices.SortFunc(entries, func(a, b *entry) int { return b.heard.Compare(a.heard) })
+		for _, e := range entries[:min(contacts, len(entries))] {
+			list = append(list, e.Instance)
+		}
+	}
 	return list
 }
 
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -214,7 +214,9 @@
 	if heard.New {
 		l.Log.Info("link: an instance reports", zap.String("instance", heard.From.Name), zap.Uint64("run", m.GetRun()))
 		reply := l.State.Compose(now, heard.From.Name)
-		l.State.Introduce(now, reply)
+		if heard.Introduce {
+			l.State.Introduce(now, heard.From.FailureDomain, reply)
+		}
 		l.send(heard.From.Peer, reply)
 	}
 	if heard.New && l.contexts.CompareAndSwap(false, true) {
