--- /dev/null
+++ b/core/crgrant/fuzz_test.go
@@ -0,0 +1,51 @@
+package crgrant_test
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroute"
+	pb "crocusrack/schema/crrouter"
+)
+
+// FuzzReceive gives an instance what may come in a datagram and in a snapshot. It
+// takes it or refuses it, and can place requests and make reports after it.
+func FuzzReceive(f *testing.F) {
+	a, b := newNode(1), newNode(2)
+	b.Self.FailureDomain = "noord-b"
+	a.Grant(start, crgrant.Ask{Service: crroute.Service{Name: "llm"}})
+	full := a.Compose(start, b.Self.Name)
+	a.Introduce(start, "noord-b", full)
+	for _, m := range []proto.Message{
+		full,
+		a.ComposeBrief(start, b.Self.Name),
+		a.ComposeDigest(start, b.Self.Name, a.Digest(start, true)),
+		&pb.Report{From: peer(a.Self), Forwarded: true, PassTo: []string{"10.0.0.7:81", "x"}, Digest: a.Digest(start, true)},
+		&pb.Report{From: peer(a.Self), Digest: &pb.Digest{Full: true, FailureDomain: "noord-c", SilentMs: []uint32{1 << 31}, WorkEndpoints: []uint32{7}}},
+		&pb.Snapshot{Endpoints: &pb.Endpoints{Revision: 9, Partial: true, Gone: []string{"e"}}},
+	} {
+		data, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		n := newNode(3)
+		n.SetEndpoints(start, 1, []*crplace.Endpoint{endpoint(t, "engine")})
+		report, snapshot := &pb.Report{}, &pb.Snapshot{}
+		if proto.Unmarshal(data, report) == nil {
+			// What can't be used is refused with an error.
+			_, _ = n.Receive(start, report)
+		}
+		if proto.Unmarshal(data, snapshot) == nil {
+			_ = n.Adopt(start, snapshot)
+		}
+		n.Grant(start, crgrant.Ask{Service: crroute.Service{Name: "llm"}})
+		n.Compose(start, "instance-1")
+		n.Digest(start, true)
+	})
+}
