Start no daemon of the soak twice

Cause: after today's soaks five daemons still ran. Two faults that overlap wait for the end of the same process, and each starts it anew; the record keeps the second one, which finds its ports taken, and nothing ends the first.

Change: a daemon whose process runs isn't started.

The test is the count of processes after the soak, by hand.

--- a/stand/crsoak/process.go
+++ b/stand/crsoak/process.go
@@ -55,11 +55,12 @@
 	return os.WriteFile(d.settings, []byte(text), 0o600)
 }
 
-// start starts the process, unless the daemon was stopped for good.
+// start starts the process, unless it runs or the daemon was stopped for good:
+// faults that overlap may each start it anew.
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stopped {
+	if d.stopped || d.runs() {
 		return nil
 	}
 	log, err := os.OpenFile(d.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
@@ -82,6 +83,16 @@
 	return nil
 }
 
+// runs reports whether the process has not ended. It needs the lock.
+func (d *daemon) runs() bool {
+	select {
+	case <-d.ended:
+		return false
+	default:
+		return d.ended != nil
+	}
+}
+
 // signal sends a signal to the process that runs now.
 func (d *daemon) signal(s syscall.Signal) error {
 	d.mu.Lock()
