Bound the heads of answers, and check a request's permission right before it is sent

Cause: io/crhop read the head of an answer without a bound. And the grant and the key were checked before a connection was opened: an instance that was suspended in the dial sent the request by a key that had lapsed (TestSuspendedInDial). A late refusal without an id, on a connection that had carried another request, was taken for the answer to the present one, which may have run (client_test, "late refusal without an id").

Change: a head, with the interim answers before it, ends at 64 KiB and at eight interim answers; the connection is reset, and the request may have run. A request has a function that is asked once the connection is there, right before the write; a grant holds for a second of the clock that counts suspension. A refusal without an id counts only as the first answer on its connection.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -138,6 +138,8 @@
 	crplace.Choice
 	state *State
 	links []crcontext.Link
+	// at is the reading of the clock that counts suspension at the grant.
+	at    time.Duration
 	ended bool
 	// read is true once the endpoint has read the prompt.
 	read bool
@@ -156,7 +158,7 @@
 		Hasty:         a.Hasty,
 		Random:        rand.Uint64(),
 	})
-	g := &Grant{Choice: choice, state: s, links: a.Links}
+	g := &Grant{Choice: choice, state: s, links: a.Links, at: s.Elapsed()}
 	if choice.Endpoint == nil {
 		if choice.Reason == crplace.Cold {
 			if at := s.placer.Soonest(now, a.Service.Name); !at.IsZero() {
@@ -232,13 +234,17 @@
 	}
 }
 
-// Valid reports whether the request may still be sent: the endpoint has not
-// begun to leave, and its failure domain is in service.
+// grantLifetime is how long a grant may be used: a connection is opened in less.
+// What it rests on, such as the part of a cold endpoint's limit, is old after that.
+const grantLifetime = time.Second
+
+// Valid reports whether the request may still be sent: the grant isn't old, the
+// endpoint has not begun to leave, and its failure domain is in service.
 func (g *Grant) Valid(now time.Time) bool {
 	s := g.state
 	s.lock(now)
 	defer s.mu.Unlock()
-	return s.placer.MayUse(g.Endpoint.Key)
+	return s.Elapsed()-g.at < grantLifetime && s.placer.MayUse(g.Endpoint.Key)
 }
 
 // End counts the request out and notes what it showed of the endpoint. It
--- a/core/crgrant/grant_test.go
+++ b/core/crgrant/grant_test.go
@@ -186,6 +186,11 @@
 	if !g.Valid(start) {
 		t.Fatal("a new grant isn't valid")
 	}
+	n.elapsed += 2 * time.Second
+	if g.Valid(start) {
+		t.Error("a grant is valid after a suspension")
+	}
+	n.elapsed -= 2 * time.Second
 	n.SetOuts(2, []string{"noord-a"})
 	if g.Valid(start) {
 		t.Error("a grant is valid after its failure domain was taken out")
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -85,8 +85,9 @@
 	Decode func(*http.Request) (Request, error)
 	// Encode adds an attempt to the header that goes to an endpoint.
 	Encode func(http.Header, Attempt)
-	// Echoed reports whether an answer is one to the request with the id.
-	Echoed func(status int, h http.Header, id string) bool
+	// Echoed reports whether an answer is one to the request with the id. The first
+	// answer on a connection can't be a late copy of an earlier one.
+	Echoed func(status int, h http.Header, id string, first bool) bool
 	// NotRun reports whether an answer says that the endpoint has not run the
 	// request.
 	NotRun func(status int, h http.Header) bool
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -40,7 +41,7 @@
 		h.Set("Account", a.Account)
 		h.Set("Last", a.LastEvent)
 	},
-	Echoed: func(_ int, h http.Header, id string) bool { return h.Get("Id") == id },
+	Echoed: func(_ int, h http.Header, id string, _ bool) bool { return h.Get("Id") == id },
 	NotRun: func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
 }
 
@@ -52,6 +53,8 @@
 	closing bool
 	client  *http.Client
 	elapsed time.Duration
+	// dialing is called before each connection to an endpoint is opened.
+	dialing func()
 
 	servers []*http.Server
 	// stopped gets the times at which endpoints noticed that a caller left.
@@ -96,7 +99,13 @@
 		r.state.SetEndpoints(begin, 1, list)
 		r.state.SetRouting(testRouting())
 		r.state.Evidence.Read(0)
-		hop := &crhop.Client{Dial: r.net.Dial("entry")}
+		dial := r.net.Dial("entry")
+		hop := &crhop.Client{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if r.dialing != nil {
+				r.dialing()
+			}
+			return dial(ctx, network, address)
+		}}
 		defer hop.CloseIdle()
 		server, err := r.net.Serve(front, &crforward.Forwarder{
 			State: r.state, Hop: hop, Codec: codec, Log: zap.NewNop(), Metrics: &crforward.Metrics{},
--- a/io/crforward/key_test.go
+++ b/io/crforward/key_test.go
@@ -39,6 +39,33 @@
 	}, good)
 }
 
+// TestSuspendedInDial: the instance is suspended while it opens a connection, and
+// wakes when the key may have been taken away, or the grant is old. The request
+// isn't sent by the old permission.
+func TestSuspendedInDial(t *testing.T) {
+	for _, c := range []struct {
+		suspended time.Duration
+		want      int
+		arrivals  int
+	}{
+		{0, 200, 1},
+		{2 * time.Second, 200, 1},
+		{5 * time.Second, 503, 0},
+		{60 * time.Second, 503, 0},
+	} {
+		play(t, func(r *rig) {
+			r.dialing = func() {
+				r.elapsed += c.suspended
+				r.dialing = nil
+			}
+			got, _ := r.send(r.t.Context(), "/book/", "")
+			if got.Status != c.want || r.arrived() != c.arrivals {
+				t.Errorf("after %s: status %d and arrivals %q, want %d and %d", c.suspended, got.Status, r.arrivals, c.want, c.arrivals)
+			}
+		}, good)
+	}
+}
+
 // TestChangedAfterARun: a key is taken away while the first endpoint works and
 // loses its answer. The request isn't sent again, and the caller isn't told that
 // it has not run.
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -50,26 +50,20 @@
 			}
 			break
 		}
-		if !grant.Valid(time.Now()) || !x.keyHolds() {
-			grant.Drop(time.Now())
-			if x.sent == 0 {
-				x.refuse("changed-meanwhile", firstRetry)
-				return
-			}
-			break
-		}
 		x.trace.attempt(grant)
 		result := x.attempt(ctx, grant, x.request.LastEvent)
-		tried = append(tried, grant.Endpoint.Key)
+		if result.verdict != withdrawn {
+			tried = append(tried, grant.Endpoint.Key)
+		}
 		switch result.verdict {
 		case done:
 			return
-		case notSent:
-			if unsent++; unsent < maxUnsent {
+		case notSent, withdrawn:
+			if unsent++; unsent < maxUnsent && x.keyHolds() {
 				continue
 			}
 			if x.sent == 0 {
-				x.refuse("endpoints-unreachable", firstRetry)
+				x.refuse(unsentReasons[result.verdict], firstRetry)
 				return
 			}
 		case notRun:
@@ -92,6 +86,9 @@
 	x.giveUp(ctx, failure)
 }
 
+// unsentReasons tell why a request was sent to no endpoint.
+var unsentReasons = map[verdict]string{notSent: "endpoints-unreachable", withdrawn: "changed-meanwhile"}
+
 const (
 	// readingPoll is how often a request asks again for an endpoint that reads
 	// its prompt.
@@ -147,6 +144,8 @@
 	done verdict = iota
 	// notSent: no endpoint has got the request.
 	notSent
+	// withdrawn: the request was no longer allowed when it was to be sent.
+	withdrawn
 	// notRun: the endpoint said that it has not run the request.
 	notRun
 	// failed: the endpoint answered with a failure.
@@ -223,7 +222,10 @@
 		Header: header,
 		Body:   x.body,
 		Once:   !x.route.Repeatable(),
-		Echoed: func(status int, h http.Header) bool { return x.Codec.Echoed(status, h, x.request.ID) },
+		Echoed: func(status int, h http.Header, first bool) bool {
+			return x.Codec.Echoed(status, h, x.request.ID, first)
+		},
+		Allowed: func() bool { return g.Valid(time.Now()) && x.keyHolds() },
 	})
 	var failure *crhop.Error
 	if !errors.As(err, &failure) || failure.Sent {
@@ -254,15 +256,19 @@
 	switch {
 	case failure.Unreachable:
 		x.end(g, crhealth.Unreachable)
-	case ctx.Err() != nil && !failure.Sent:
+	case errors.Is(err, crhop.ErrWithdrawn), ctx.Err() != nil && !failure.Sent:
 		g.Drop(time.Now())
 	default:
 		x.end(g, crhealth.Broken)
 	}
-	if failure.Sent {
+	switch {
+	case failure.Sent:
 		return result{verdict: unknown}
+	case errors.Is(err, crhop.ErrWithdrawn):
+		return result{verdict: withdrawn}
+	default:
+		return result{verdict: notSent}
 	}
-	return result{verdict: notSent}
 }
 
 // plain handles an answer that isn't a stream of events.
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -82,10 +82,6 @@
 			return nil, nil
 		}
 		*tried = append(*tried, g.Endpoint.Key)
-		if !g.Valid(time.Now()) || !x.keyHolds() {
-			g.Drop(time.Now())
-			return nil, nil
-		}
 		x.trace.attempt(g)
 		last := ""
 		if id, ok := s.splitter.Last(); ok {
@@ -94,6 +90,9 @@
 		answer, err := x.sendWatched(ctx, g, last)
 		if err != nil {
 			x.unanswered(ctx, g, err)
+			if !x.keyHolds() {
+				return nil, nil
+			}
 			continue
 		}
 		if answer.Status >= 300 || x.Codec.NotRun(answer.Status, answer.Header) {
--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -49,6 +49,10 @@
 		a.drop()
 		return nil, &Error{Cause: ctx.Err()}
 	}
+	if r.Allowed != nil && !r.Allowed() {
+		a.drop()
+		return nil, &Error{Cause: ErrWithdrawn}
+	}
 	if len(r.Body) <= inlineBody {
 		a.write(r)
 		if a.writeErr != nil && a.nothingWritten() {
@@ -58,8 +62,9 @@
 	} else {
 		go a.write(r)
 	}
-	response, err := readHead(k, r.Method)
-	if err == nil && !r.Echoed(response.StatusCode, response.Header) {
+	first := !k.answered
+	response, err := c.readHead(k, r.Method)
+	if err == nil && !r.Echoed(response.StatusCode, response.Header, first) {
 		err = errSpoilt
 	}
 	if err != nil {
@@ -124,17 +129,24 @@
 	return b.Bytes()
 }
 
-// readHead reads the header of the final answer.
-func readHead(k *conn, method string) (*http.Response, error) {
-	for {
+// readHead reads the head of the final answer.
+func (c *Client) readHead(k *conn, method string) (*http.Response, error) {
+	k.unread = c.HeadBytes
+	if k.unread <= 0 {
+		k.unread = defaultHeadBytes
+	}
+	defer func() { k.unread = -1 }()
+	for range maxInterim + 1 {
 		response, err := http.ReadResponse(k.reader, &http.Request{Method: method, URL: &url.URL{}})
 		if err != nil {
 			return nil, err
 		}
+		k.answered = true
 		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
 		}
 	}
+	return nil, errHeadTooLong
 }
 
 // Read reads the body.
--- a/io/crhop/client.go
+++ b/io/crhop/client.go
@@ -49,6 +49,10 @@
 	maxIdle = 8
 	// bufferBytes is the size of the read buffer of a connection.
 	bufferBytes = 4096
+	// defaultHeadBytes is the limit of an answer's head when none is set.
+	defaultHeadBytes = 64 << 10
+	// maxInterim is how many interim answers may come before the final one.
+	maxInterim = 8
 )
 
 // Client sends requests to endpoints. Set the exported fields before first use.
@@ -57,6 +61,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Opened is called with each new connection; may be nil.
 	Opened func()
+	// HeadBytes bounds the head of an answer, with the interim answers before it;
+	// 64 KiB when zero.
+	HeadBytes int64
 
 	mu   sync.Mutex
 	idle map[crledger.Key][]*conn
@@ -78,8 +85,12 @@
 	Body   []byte
 	// Once is true when the request must not be repeated.
 	Once bool
-	// Echoed reports whether an answer belongs to the request.
-	Echoed func(status int, h http.Header) bool
+	// Echoed reports whether an answer belongs to the request. The first answer on
+	// a connection can't be a late copy of an earlier one.
+	Echoed func(status int, h http.Header, first bool) bool
+	// Allowed reports whether the request may still be sent. It is asked when the
+	// connection is there, right before the request is written; nil allows it.
+	Allowed func() bool
 }
 
 // Error is a failure to get an answer.
@@ -102,11 +113,23 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-var errSpoilt = errors.New("the answer belongs to another request")
+var (
+	errSpoilt = errors.New("the answer belongs to another request")
+	// ErrWithdrawn is the cause when a request was no longer allowed once its
+	// connection was there.
+	ErrWithdrawn = errors.New("the request may no longer be sent")
+	// errHeadTooLong ends an answer whose head doesn't end.
+	errHeadTooLong = errors.New("the head of the answer is too long")
+)
 
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// unread is how many bytes may still be read while a head is awaited; no
+	// bound when negative.
+	unread int64
+	// answered is true once an answer has come over the connection.
+	answered bool
 	// usableUntil is when the endpoint may close the connection.
 	usableUntil time.Time
 	idleSince   time.Time
@@ -223,6 +246,25 @@
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() { c.Prune(time.Now(), func(crledger.Key) bool { return false }) }
 
+func newConn(c net.Conn) *conn {
+	k := &conn{Conn: c, unread: -1}
+	k.reader = bufio.NewReaderSize(k, bufferBytes)
+	return k
+}
+
+// Read reads what the bound on a head leaves.
+func (k *conn) Read(p []byte) (int, error) {
+	if k.unread < 0 {
+		return k.Conn.Read(p)
+	}
+	if k.unread == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := k.Conn.Read(p[:min(int64(len(p)), k.unread)])
+	k.unread -= int64(n)
+	return n, err
+}
+
 type dialed struct {
 	conn net.Conn
 	err  error
@@ -254,7 +296,7 @@
 				if c.Opened != nil {
 					c.Opened()
 				}
-				return &conn{Conn: d.conn, reader: bufio.NewReaderSize(d.conn, bufferBytes)}, nil
+				return newConn(d.conn), nil
 			}
 			if pending == 0 {
 				return nil, d.err
--- a/io/crhop/client_test.go
+++ b/io/crhop/client_test.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// refusal is an answer without an id, as of an endpoint that is full.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno"
+
 const ok = "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nok"
 
 func send(t *testing.T, c *crhop.Client, e *endpoint, id string, once bool) (string, error) {
@@ -90,7 +93,9 @@
 	a, err := c.Send(t.Context(), crhop.Endpoint{Key: 1, Address: e.address}, &crhop.Request{
 		Method: http.MethodPost, Target: "/x/", Host: "desk.example", Header: http.Header{"Id": {id}},
 		Body: []byte("body"), Once: once,
-		Echoed: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Echoed: func(status int, h http.Header, first bool) bool {
+			return h.Get("Id") == id || first && status == http.StatusServiceUnavailable
+		},
 	})
 	if err != nil {
 		return "", err
@@ -118,6 +123,8 @@
 		{"answer to another request", []script{
 			answers("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nno"), answers(ok),
 		}, "sent", "ok", 2},
+		{"refusal without an id", []script{answers(refusal, ok)}, "no", "ok", 2},
+		{"late refusal without an id", []script{answers(ok, refusal), answers(ok)}, "ok", "sent", 2},
 		{"no HTTP", []script{answers("rubbish\r\n\r\n"), answers(ok)}, "sent", "ok", 2},
 		{"cut body", []script{
 			func(_ *testing.T, c net.Conn, next func() (*http.Request, error)) {
@@ -197,6 +204,22 @@
 	}
 }
 
+// TestWithdrawn: a request stops being allowed while its connection is opened. It
+// isn't written.
+func TestWithdrawn(t *testing.T) {
+	e := serve(t, answers(ok))
+	_, err := (&crhop.Client{}).Send(t.Context(), crhop.Endpoint{Key: 1, Address: e.address}, &crhop.Request{
+		Method: http.MethodPost, Target: "/", Host: "x", Header: http.Header{}, Allowed: func() bool { return false },
+	})
+	var failure *crhop.Error
+	if !errors.As(err, &failure) || failure.Sent || failure.Unreachable || !errors.Is(err, crhop.ErrWithdrawn) {
+		t.Errorf("got %v, want that the request was withdrawn", err)
+	}
+	if got := len(e.requests); got != 0 {
+		t.Errorf("the endpoint got %d requests", got)
+	}
+}
+
 func TestRefusedIsNotSent(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -227,7 +250,7 @@
 		cancel()
 	}()
 	_, err := (&crhop.Client{}).Send(ctx, crhop.Endpoint{Key: 1, Address: e.address}, &crhop.Request{
-		Method: http.MethodGet, Target: "/", Host: "x", Header: http.Header{}, Echoed: func(int, http.Header) bool { return true },
+		Method: http.MethodGet, Target: "/", Host: "x", Header: http.Header{}, Echoed: func(int, http.Header, bool) bool { return true },
 	})
 	if !errors.Is(err, context.Canceled) {
 		t.Errorf("got %v, want that the caller left", err)
