Take endpoints that leave or ask for a pause out of use

Cause: an endpoint could leave only by the store's word, and one that turned a request away was used again after 0.4 s, at once when most others were out of use.

Change: an incarnation that says that it leaves gets no new requests from this instance, for good, also when an older list of endpoints names it again; reports and digests tell the others for 3 s. A pause that an endpoint asks for is kept, 10 minutes at most and up to a fifth longer at random; a request that only paused endpoints are left for is refused with the end of the first pause.

Figures: TestLeavingIsTold, TestLeaving, TestPause and the rows of TestLeftOut don't compile before.

--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -128,6 +128,7 @@
 	for _, k := range s.health.Ejected(now) {
 		m.Unreachable = append(m.Unreachable, uint64(k))
 	}
+	m.LeavingEndpoints = s.leaving(now)
 }
 
 // shortKey is the part of an endpoint's key that digests name it by. Among 6,000
@@ -179,6 +180,7 @@
 	for _, k := range m.GetUnreachable() {
 		s.health.Heard(now, crledger.Key(k))
 	}
+	s.takeLeaving(now, m.GetLeavingEndpoints())
 	return nil
 }
 
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -244,7 +244,7 @@
 	s := g.state
 	s.lock(now)
 	defer s.mu.Unlock()
-	return s.Elapsed()-g.at < grantLifetime && s.placer.MayUse(g.Endpoint.Key)
+	return s.Elapsed()-g.at < grantLifetime && s.placer.MayUse(now, g.Endpoint.Key)
 }
 
 // End counts the request out and notes what it showed of the endpoint. It
@@ -270,6 +270,35 @@
 	return s.health.Note(now, g.Endpoint.Key, o, usual)
 }
 
+// Leave notes that the endpoint says that it leaves. Other instances are told. It
+// reports whether that is new.
+func (g *Grant) Leave(now time.Time) bool {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	if !s.health.Leave(now, g.Endpoint.Key) {
+		return false
+	}
+	s.urgent()
+	return true
+}
+
+// pauseSpread is the part of a pause by which it is made longer at random, so that
+// not all instances that were turned away return at once.
+const pauseSpread = 0.2
+
+// Pause notes that the endpoint wants no requests from this instance for a time.
+// It returns the time for which it gets none.
+func (g *Grant) Pause(now time.Time, d time.Duration) time.Duration {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	d = min(d, crhealth.MaxPause)
+	d += time.Duration(rand.Float64() * pauseSpread * float64(d))
+	s.health.Pause(now, g.Endpoint.Key, d)
+	return d
+}
+
 // Drop counts a request out that showed nothing of the endpoint, such as one
 // whose caller left.
 func (g *Grant) Drop(now time.Time) {
--- a/core/crgrant/grant_test.go
+++ b/core/crgrant/grant_test.go
@@ -292,3 +292,26 @@
 		t.Errorf("only %d repeats in 30 s", len(repeats))
 	}
 }
+
+// TestLeavingIsTold: an endpoint tells one instance that it leaves. Others hear of
+// it in a report and don't use it, also when an older list of endpoints comes.
+func TestLeavingIsTold(t *testing.T) {
+	a, b := newNode(1), newNode(2)
+	list := []*crplace.Endpoint{endpoint(t, "llm-1")}
+	ask := crgrant.Ask{Service: crroute.Service{Name: "llm"}}
+	for _, n := range []*node{a, b} {
+		n.SetEndpoints(start, 1, list)
+	}
+	g := a.Grant(start, ask)
+	if !g.Leave(start) || g.Valid(start) {
+		t.Error("the endpoint is used after it said that it leaves")
+	}
+	send(t, a, b)
+	for i, n := range []*node{a, b} {
+		n.SetEndpoints(start, 2, nil)
+		n.SetEndpoints(start, 3, list)
+		if got := n.Grant(start, ask); got.Reason != crplace.Absent {
+			t.Errorf("instance %d: %s, want no endpoint", i, got.Reason)
+		}
+	}
+}
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -119,9 +119,29 @@
 	for _, k := range s.health.Ejected(now) {
 		m.Unreachable = append(m.Unreachable, uint64(k))
 	}
+	m.LeavingEndpoints = s.leaving(now)
 	return m
 }
 
+// leavingRepeat is how long instances tell of an endpoint that leaves: several
+// reports and digests.
+const leavingRepeat = 3 * time.Second
+
+// leaving returns the endpoints that said lately that they leave.
+func (s *State) leaving(now time.Time) []uint64 {
+	var list []uint64
+	for _, k := range s.health.Leaving(now.Add(-leavingRepeat)) {
+		list = append(list, uint64(k))
+	}
+	return list
+}
+
+func (s *State) takeLeaving(now time.Time, keys []uint64) {
+	for _, k := range keys {
+		s.health.Leave(now, crledger.Key(k))
+	}
+}
+
 // ComposeBrief makes a brief report to an instance that others report to as well.
 // It names this one without its addresses.
 func (s *State) ComposeBrief(now time.Time, to string) *pb.Report {
@@ -318,6 +338,7 @@
 	for _, k := range m.GetUnreachable() {
 		s.health.Heard(now, crledger.Key(k))
 	}
+	s.takeLeaving(now, m.GetLeavingEndpoints())
 }
 
 func (s *State) takeContext(now time.Time, c *pb.Context) {
--- a/core/crhealth/health.go
+++ b/core/crhealth/health.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"crocusrack/core/crledger"
+	"crocusrack/core/crrecent"
 )
 
 const (
@@ -50,11 +51,16 @@
 	times   int
 	until   time.Time
 	heard   time.Time
+	// paused is until when the endpoint wants no requests from this instance.
+	paused time.Time
 }
 
 // Table is the health of endpoints. Its zero value holds all for healthy.
 type Table struct {
 	endpoints map[crledger.Key]*state
+	// left are when endpoints said that they leave. They are kept when the list of
+	// endpoints lacks them: an older list may name them again.
+	left crrecent.Map[crledger.Key, time.Time]
 }
 
 func (t *Table) state(k crledger.Key) *state {
@@ -128,6 +134,57 @@
 	return s == nil || !now.Before(s.until) && now.Sub(s.heard) > heardFor
 }
 
+const (
+	// maxLeft is how many endpoints that leave are remembered at least.
+	maxLeft = 4096
+	// MaxPause bounds the time for which an endpoint may ask for no requests.
+	MaxPause = 10 * time.Minute
+)
+
+// Leave notes that an endpoint said that it leaves: this incarnation gets no new
+// requests. It reports whether that is new.
+func (t *Table) Leave(now time.Time, k crledger.Key) bool {
+	t.left.Limit = maxLeft
+	if _, known := t.left.Get(k); known {
+		return false
+	}
+	t.left.Put(k, now)
+	return true
+}
+
+// Left reports whether an endpoint said that it leaves.
+func (t *Table) Left(k crledger.Key) bool {
+	_, left := t.left.Get(k)
+	return left
+}
+
+// Leaving returns the endpoints that said since a time that they leave.
+func (t *Table) Leaving(since time.Time) []crledger.Key {
+	var list []crledger.Key
+	for k, at := range t.left.All() {
+		if at.After(since) {
+			list = append(list, k)
+		}
+	}
+	return list
+}
+
+// Pause notes that an endpoint wants no requests from this instance for a time,
+// MaxPause at most.
+func (t *Table) Pause(now time.Time, k crledger.Key, d time.Duration) {
+	s := t.state(k)
+	s.paused = later(s.paused, now.Add(min(d, MaxPause)))
+}
+
+// Paused returns until when an endpoint wants no requests from this instance; the
+// zero time when it takes some.
+func (t *Table) Paused(now time.Time, k crledger.Key) time.Time {
+	if s := t.endpoints[k]; s != nil && now.Before(s.paused) {
+		return s.paused
+	}
+	return time.Time{}
+}
+
 // Rate returns the rate of failures of an endpoint, from 0 to 1.
 func (t *Table) Rate(k crledger.Key) float64 {
 	if s := t.endpoints[k]; s != nil {
--- a/core/crhealth/health_test.go
+++ b/core/crhealth/health_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"crocusrack/core/crhealth"
+	"crocusrack/core/crledger"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -89,3 +90,50 @@
 		t.Error("not usable half a second after a refusal: it may have been full for a moment")
 	}
 }
+
+// TestLeaving: an endpoint that said that it leaves stays so, also when it was
+// missing from the list of endpoints and an older list names it again.
+func TestLeaving(t *testing.T) {
+	var table crhealth.Table
+	if !table.Leave(start, 1) || table.Leave(start.Add(time.Second), 1) {
+		t.Error("only the first word is new")
+	}
+	table.Forget(func(crledger.Key) bool { return false })
+	if !table.Left(1) || table.Left(2) {
+		t.Errorf("left: %t and %t, want only the first", table.Left(1), table.Left(2))
+	}
+	if got := table.Leaving(start.Add(-time.Second)); len(got) != 1 {
+		t.Errorf("%d endpoints leave, want 1", len(got))
+	}
+	if got := table.Leaving(start); len(got) != 0 {
+		t.Errorf("%d endpoints said so since, want none", len(got))
+	}
+}
+
+func TestPause(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		asked time.Duration
+		after time.Duration
+		want  time.Duration
+	}{
+		{"at once", 2 * time.Second, 0, 2 * time.Second},
+		{"over", 2 * time.Second, 2 * time.Second, 0},
+		{"in between", 2 * time.Second, time.Second, time.Second},
+		{"without end", 1000 * time.Hour, 0, crhealth.MaxPause},
+	} {
+		var table crhealth.Table
+		table.Pause(start, 1, c.asked)
+		// A good answer to an earlier request doesn't end the pause, nor does a
+		// shorter one.
+		table.Note(start, 1, crhealth.Good, 0)
+		table.Pause(start, 1, time.Millisecond)
+		now, left := start.Add(c.after), time.Duration(0)
+		if until := table.Paused(now, 1); !until.IsZero() {
+			left = until.Sub(now)
+		}
+		if left != c.want {
+			t.Errorf("%s: paused for another %s, want %s", c.name, left, c.want)
+		}
+	}
+}
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -107,11 +107,13 @@
 	Busy
 	// Cold: only cold ones are left, and they have what they bear.
 	Cold
+	// Paused: the endpoints that are left asked for no requests for a while.
+	Paused
 	// Reading: another request's prompt is being read that this one shares.
 	Reading
 )
 
-var reasonNames = [...]string{Chosen: "chosen", Absent: "no-endpoint", Busy: "all-busy", Cold: "all-cold", Reading: "reading"}
+var reasonNames = [...]string{Chosen: "chosen", Absent: "no-endpoint", Busy: "all-busy", Cold: "all-cold", Paused: "all-paused", Reading: "reading"}
 
 // String returns the reason in kebab case.
 func (r Reason) String() string {
@@ -160,6 +162,9 @@
 	// healthy and ejected are the candidates of the last request, whose memory
 	// the next one takes.
 	healthy, ejected []candidate
+	// resume is when the first endpoint that the last request was kept from for a
+	// pause takes requests again.
+	resume time.Time
 }
 
 // KeyOf returns the key of an incarnation of an endpoint.
@@ -182,11 +187,15 @@
 func (p *Placer) Endpoint(k crledger.Key) *Endpoint { return p.byKey[k] }
 
 // MayUse reports whether an endpoint may still be sent a request.
-func (p *Placer) MayUse(k crledger.Key) bool {
+func (p *Placer) MayUse(now time.Time, k crledger.Key) bool {
 	e := p.byKey[k]
-	return e != nil && !e.Draining && !p.Out(e.FailureDomain)
+	return e != nil && !p.leaves(e) && !p.Out(e.FailureDomain) && p.Health.Paused(now, k).IsZero()
 }
 
+// leaves reports whether an endpoint takes no new work, by the store's word or by
+// its own.
+func (p *Placer) leaves(e *Endpoint) bool { return e.Draining || p.Health.Left(e.Key) }
+
 // UsualRate returns the mean rate of failures of a service's endpoints other
 // than one.
 func (p *Placer) UsualRate(service string, except crledger.Key) float64 {
@@ -219,6 +228,9 @@
 	}
 	list, mean := p.candidates(now, a, held)
 	if len(list) == 0 {
+		if !p.resume.IsZero() {
+			return Choice{Reason: Paused, Mean: mean, RetryAfter: p.resume.Sub(now)}
+		}
 		return Choice{Reason: Absent, RetryAfter: absentRetry}
 	}
 	if c := p.best(now, a, list, mean); c != nil {
@@ -287,16 +299,25 @@
 // service's endpoints in use. Those that failed lately are among them only when
 // they would be too large a share of the service.
 func (p *Placer) candidates(now time.Time, a Ask, held map[crledger.Key]int) ([]candidate, float64) {
-	p.healthy, p.ejected = p.healthy[:0], p.ejected[:0]
+	p.healthy, p.ejected, p.resume = p.healthy[:0], p.ejected[:0], time.Time{}
 	sum, count := 0, 0
 	for _, e := range p.services[a.Service] {
 		work := p.Work.InFlight(e.Key)
 		sum += work
-		if e.Draining {
+		if p.leaves(e) {
 			continue
 		}
 		count++
-		if p.Out(e.FailureDomain) || slices.Contains(a.Tried, e.Key) {
+		if p.Out(e.FailureDomain) {
+			continue
+		}
+		if until := p.Health.Paused(now, e.Key); !until.IsZero() {
+			if p.resume.IsZero() || until.Before(p.resume) {
+				p.resume = until
+			}
+			continue
+		}
+		if slices.Contains(a.Tried, e.Key) {
 			continue
 		}
 		c := candidate{
--- a/core/crplace/place_test.go
+++ b/core/crplace/place_test.go
@@ -145,6 +145,16 @@
 				}
 			}
 		}, crplace.Busy},
+		{"all leave", func(w *world) {
+			for _, e := range w.endpoints {
+				w.Health.Leave(start, e.Key)
+			}
+		}, crplace.Absent},
+		{"all paused", func(w *world) {
+			for i, e := range w.endpoints {
+				w.Health.Pause(start, e.Key, time.Duration(2+i)*time.Second)
+			}
+		}, crplace.Paused},
 		{"one unreachable", func(w *world) { w.Health.Note(start, w.endpoints[0].Key, crhealth.Unreachable, 0) }, crplace.Chosen},
 		{"all unreachable", func(w *world) {
 			for _, e := range w.endpoints {
@@ -158,6 +168,9 @@
 		if diff := cmp.Diff(c.want.String(), got.Reason.String()); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", c.name, diff)
 		}
+		if c.name == "all paused" && got.RetryAfter != 2*time.Second {
+			t.Errorf("to come back in %s, want 2s", got.RetryAfter)
+		}
 		if c.name == "one unreachable" && got.Endpoint == w.endpoints[0] {
 			t.Error("the unreachable endpoint was chosen")
 		}
