Heed what answers say of endpoints, and bound what is kept of answers

Cause: Server-Leaving and Retry-After of answers were passed on and not read. Any byte counted as progress of a stream, so that one that trickled was never given up; one whose pauses its route allows was cut after 2.5 s.

Change: the head of each answer is heeded when it arrives. A body is kept up to 256 KiB and passed on as it comes beyond that, 8 MiB at most where its length isn't known; an event is bounded to 64 KiB; all requests together keep 24 MiB beside 16 KiB each. The limits are settings. Only a whole event is progress, and a stream is given up after three of its route's pauses, 2.5 s at least.

--- a/core/crsettings/router.go
+++ b/core/crsettings/router.go
@@ -32,6 +32,11 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 	LogLevel    string
+	// AnswerHeadBytes bounds the head of an endpoint's answer, AnswerEventBytes an
+	// event of a stream, and AnswerMemoryBytes what is kept of all answers.
+	AnswerHeadBytes   int64
+	AnswerEventBytes  int
+	AnswerMemoryBytes int64
 }
 
 // RouterKeys returns every key of a router's settings, sorted by path.
@@ -40,6 +45,12 @@
 var routerKeys = []Key{
 	{Path: "address-lifetime", Type: TypeDuration, Default: `"1s"`, Min: "100ms", Max: "1h",
 		Doc: "How long callers may keep an answer that says where to connect."},
+	{Path: "answer-event-bytes", Type: TypeInteger, Default: "65536", Min: "1024", Max: "16777216", Unit: "bytes",
+		Doc: "Largest event of a stream. A longer one breaks the stream, which then goes on at another endpoint where its route allows it."},
+	{Path: "answer-head-bytes", Type: TypeInteger, Default: "32768", Min: "1024", Max: "1048576", Unit: "bytes",
+		Doc: "Largest head of an endpoint's answer, with the interim answers before it. The connection is reset beyond it."},
+	{Path: "answer-memory-bytes", Type: TypeInteger, Default: "25165824", Min: "1048576", Max: "17179869184", Unit: "bytes",
+		Doc: "What is kept of all answers together beside 16 KiB for each. Without room, a long answer is passed on as it comes, and isn't repeated when it breaks off."},
 	{Path: "directory", Type: TypeAddress, Required: true,
 		Doc: "Address that answers callers who ask where to connect."},
 	{Path: "failure-domain", Type: TypeName, Required: true,
@@ -105,6 +116,10 @@
 		RetrySlack:      m.GetRetrySlack(),
 		RetryWindow:     m.GetRetryWindow().AsDuration(),
 		LogLevel:        m.GetLogLevel(),
+
+		AnswerHeadBytes:   int64(m.GetAnswerHeadBytes()),
+		AnswerEventBytes:  int(m.GetAnswerEventBytes()),
+		AnswerMemoryBytes: int64(m.GetAnswerMemoryBytes()),
 	}
 	for _, a := range m.GetSeeds() {
 		s.Seeds = append(s.Seeds, address(a))
--- a/core/crstream/stream.go
+++ b/core/crstream/stream.go
@@ -5,28 +5,49 @@
 
 import (
 	"bytes"
+	"errors"
 	"strconv"
 )
 
-// Splitter collects bytes until an event is whole. Its zero value is ready.
+// DefaultLimit is the largest event, in bytes, where none is set.
+const DefaultLimit = 64 << 10
+
+// ErrTooLong says that an event is longer than the limit.
+var ErrTooLong = errors.New("an event of the stream is too long")
+
+// Splitter collects bytes until an event is whole. Set the exported field before
+// first use; the zero value is ready.
 type Splitter struct {
+	// Limit is the largest event that is kept, in bytes; DefaultLimit when zero.
+	Limit int
+
 	buffer []byte
 	last   uint64
 	any    bool
 }
 
 // Write takes bytes of the stream and returns those that end with a whole
-// event; they are valid until the next call. What doesn't end yet is kept.
-func (s *Splitter) Write(p []byte) []byte {
+// event; they are valid until the next call. What doesn't end yet is kept. The
+// error is ErrTooLong when that is more than the limit; the whole events before
+// it are returned all the same.
+func (s *Splitter) Write(p []byte) ([]byte, error) {
+	// The end of an event may begin in what was there before.
+	from := max(0, len(s.buffer)-markLength+1)
 	s.buffer = append(s.buffer, p...)
-	end := wholeEvents(s.buffer)
-	if end == 0 {
-		return nil
+	var whole []byte
+	if end := wholeEvents(s.buffer[from:]); end > 0 {
+		whole = bytes.Clone(s.buffer[:from+end])
+		s.buffer = append(s.buffer[:0], s.buffer[from+end:]...)
+		s.note(whole)
+	}
+	limit := s.Limit
+	if limit <= 0 {
+		limit = DefaultLimit
 	}
-	whole := bytes.Clone(s.buffer[:end])
-	s.buffer = append(s.buffer[:0], s.buffer[end:]...)
-	s.note(whole)
-	return whole
+	if len(s.buffer) > limit {
+		return whole, ErrTooLong
+	}
+	return whole, nil
 }
 
 // Rest returns the bytes after the last whole event and forgets them.
@@ -36,6 +57,9 @@
 	return rest
 }
 
+// Len returns how many bytes are kept.
+func (s *Splitter) Len() int { return len(s.buffer) }
+
 // Last returns the id of the last whole event; false before the first one with
 // an id.
 func (s *Splitter) Last() (uint64, bool) { return s.last, s.any }
@@ -43,6 +67,9 @@
 // SetLast sets the id after which the stream goes on.
 func (s *Splitter) SetLast(id uint64) { s.last, s.any = id, true }
 
+// markLength is the length of the longest end of an event.
+const markLength = len("\n\r\n")
+
 // wholeEvents returns the length of the whole events at the start of b. An
 // event ends with an empty line.
 func wholeEvents(b []byte) int {
--- a/core/crstream/stream_test.go
+++ b/core/crstream/stream_test.go
@@ -17,22 +17,51 @@
 	ends := map[int]uint64{0: 0, 15: 1, 42: 2, len(three): 3}
 	for at := range len(three) + 1 {
 		var s crstream.Splitter
-		out := s.Write([]byte(three[:at]))
+		out := write(t, &s, three[:at])
 		id, ok := s.Last()
 		want, whole := ends[len(out)]
 		if !whole || id != want || ok != (want > 0) {
 			t.Fatalf("cut at %d: %d bytes and id %d", at, len(out), id)
 		}
-		out = append(out, s.Write([]byte(three[at:]))...)
+		out = append(out, write(t, &s, three[at:])...)
 		if diff := cmp.Diff(three, string(out)); diff != "" {
 			t.Fatalf("cut at %d (-want +got):\n%s", at, diff)
 		}
 	}
 }
 
+func write(t *testing.T, s *crstream.Splitter, text string) []byte {
+	t.Helper()
+	out, err := s.Write([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestLimit: an event that doesn't end is kept up to the limit. The whole events
+// before it come out.
+func TestLimit(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		out  int
+		err  error
+	}{
+		{"id: 1\n\n12345678", 7, nil},
+		{"id: 1\n\n123456789", 7, crstream.ErrTooLong},
+		{"123456789\n\n", 11, nil},
+	} {
+		s := crstream.Splitter{Limit: 8}
+		out, err := s.Write([]byte(c.text))
+		if len(out) != c.out || err != c.err {
+			t.Errorf("%q: %d bytes and %v, want %d and %v", c.text, len(out), err, c.out, c.err)
+		}
+	}
+}
+
 func TestRest(t *testing.T) {
 	var s crstream.Splitter
-	s.Write([]byte("id: 7\ndata: a\n\nid: 8\nda"))
+	write(t, &s, "id: 7\ndata: a\n\nid: 8\nda")
 	if got := string(s.Rest()); got != "id: 8\nda" {
 		t.Errorf("rest %q", got)
 	}
@@ -49,7 +78,7 @@
 			return
 		}
 		var s crstream.Splitter
-		out := append(s.Write(stream[:at]), s.Write(stream[at:])...)
+		out := append(write(t, &s, string(stream[:at])), write(t, &s, string(stream[at:]))...)
 		if got := append(out, s.Rest()...); !bytes.Equal(got, stream) {
 			t.Errorf("%q came out as %q", stream, got)
 		}
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -91,6 +91,11 @@
 	// NotRun reports whether an answer says that the endpoint has not run the
 	// request.
 	NotRun func(status int, h http.Header) bool
+	// Leaving reports whether an answer says that the endpoint leaves.
+	Leaving func(h http.Header) bool
+	// Pause returns the time for which an endpoint that turned a request away
+	// wants no more of them; zero when it doesn't say.
+	Pause func(status int, h http.Header) time.Duration
 }
 
 // Forwarder is the handler for callers. Set the exported fields before first
@@ -107,6 +112,10 @@
 	MaxKeyAge time.Duration
 	// Closing reports whether connections are to be closed after their answer.
 	Closing func() bool
+	// Memory bounds what is kept of answers.
+	Memory Memory
+	// EventBytes is the largest event of a stream; crstream.DefaultLimit when zero.
+	EventBytes int
 }
 
 // exchange is one request on its way.
@@ -128,6 +137,8 @@
 	aged     bool
 	// sent is how many endpoints may have got the request.
 	sent int
+	// held is the memory that the request has taken beside its first step.
+	held int64
 
 	trace trace
 }
@@ -144,6 +155,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.finish()
+	defer x.release()
 	if x.accept() {
 		x.run()
 	}
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -41,18 +41,25 @@
 		h.Set("Account", a.Account)
 		h.Set("Last", a.LastEvent)
 	},
-	Echoed: func(_ int, h http.Header, id string, _ bool) bool { return h.Get("Id") == id },
-	NotRun: func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
+	Echoed:  func(_ int, h http.Header, id string, _ bool) bool { return h.Get("Id") == id },
+	NotRun:  func(_ int, h http.Header) bool { return h.Get("Not-Run") != "" },
+	Leaving: func(h http.Header) bool { return h.Get("Leaving") != "" },
+	Pause: func(_ int, h http.Header) time.Duration {
+		d, _ := time.ParseDuration(h.Get("Pause"))
+		return d
+	},
 }
 
 // rig is an instance before endpoints, all in one bubble.
 type rig struct {
-	t       *testing.T
-	net     *crnet.Network
-	state   *crgrant.State
-	closing bool
-	client  *http.Client
-	elapsed time.Duration
+	t     *testing.T
+	net   *crnet.Network
+	state *crgrant.State
+	// forwarder is the instance's, before its first request.
+	forwarder *crforward.Forwarder
+	closing   bool
+	client    *http.Client
+	elapsed   time.Duration
 	// dialing is called before each connection to an endpoint is opened.
 	dialing func()
 
@@ -107,10 +114,11 @@
 			return dial(ctx, network, address)
 		}}
 		defer hop.CloseIdle()
-		server, err := r.net.Serve(front, &crforward.Forwarder{
+		r.forwarder = &crforward.Forwarder{
 			State: r.state, Hop: hop, Codec: codec, Log: zap.NewNop(), Metrics: &crforward.Metrics{},
 			MaxKeyAge: 4 * time.Second, Closing: func() bool { return r.closing },
-		})
+		}
+		server, err := r.net.Serve(front, r.forwarder)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -134,6 +142,11 @@
 		Routes: []*pb.Route{
 			route("read", pb.Kind_KIND_IDEMPOTENT, false), route("book", pb.Kind_KIND_ONCE, false),
 			route("draft", pb.Kind_KIND_STREAM, true), route("reply", pb.Kind_KIND_STREAM, false),
+			{
+				Name: "slow", Host: "desk.example", Prefix: "/slow/", Kind: pb.Kind_KIND_STREAM, Resumable: true, MaxAttempts: 2,
+				Timeout: durationpb.New(time.Minute), Gap: durationpb.New(1500 * time.Millisecond),
+				Shares: []*pb.Share{{Service: "app", Weight: 1}},
+			},
 		},
 		Services: []*pb.Service{{Name: "app"}},
 		Accounts: []*pb.Account{{Name: "buyer", Keys: []string{"k"}}},
--- /dev/null
+++ b/io/crforward/heed_test.go
@@ -0,0 +1,209 @@
+package crforward_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestLeavingEndpoint: an endpoint says in an answer that it leaves. It gets no
+// request after that, and the answers of the other are passed on.
+func TestLeavingEndpoint(t *testing.T) {
+	for _, path := range []string{"/read/", "/book/", "/draft/", "/reply/"} {
+		leave := func(w http.ResponseWriter, q *http.Request) {
+			w.Header().Set("Leaving", "1")
+			good(w, q)
+		}
+		play(t, func(r *rig) {
+			for range 20 {
+				if got, _ := r.send(r.t.Context(), path, ""); got.Status != http.StatusOK {
+					t.Errorf("%s: status %d", path, got.Status)
+				}
+			}
+			if got := r.count("e1 "); got > 1 {
+				t.Errorf("%s: %d requests arrived at the endpoint that leaves", path, got)
+			}
+		}, leave, good)
+	}
+}
+
+// TestPausedEndpoint: an endpoint turns requests away and says for how long. It
+// gets none meanwhile, whether or not another one can take them; a caller that is
+// refused is told when to come back.
+func TestPausedEndpoint(t *testing.T) {
+	pause := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.Header().Set("Pause", "2s")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	play(t, func(r *rig) {
+		begin := time.Now()
+		for time.Since(begin) < 1900*time.Millisecond {
+			got, header := r.send(r.t.Context(), "/book/", "")
+			if got.Status != http.StatusServiceUnavailable {
+				t.Fatalf("status %d, want a refusal", got.Status)
+			}
+			left := 2*time.Second - time.Since(begin)
+			wait, err := time.ParseDuration(header.Get("Retry-After") + "s")
+			if err != nil || wait < left-100*time.Millisecond || wait > left+500*time.Millisecond {
+				t.Errorf("to come back in %s, want about %s", wait, left)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if r.arrived() != 1 {
+			t.Errorf("arrivals in the pause: %q", r.arrivals)
+		}
+		time.Sleep(time.Second)
+		r.send(r.t.Context(), "/book/", "")
+		if r.arrived() != 2 {
+			t.Errorf("arrivals after the pause: %q", r.arrivals)
+		}
+	}, pause)
+	play(t, func(r *rig) {
+		for range 20 {
+			if got, _ := r.send(r.t.Context(), "/book/", ""); got.Status != http.StatusOK {
+				t.Errorf("status %d", got.Status)
+			}
+			time.Sleep(90 * time.Millisecond)
+		}
+		if got := r.count("e1 "); got > 1 {
+			t.Errorf("%d requests arrived at the paused endpoint", got)
+		}
+	}, pause, good)
+}
+
+func (r *rig) count(prefix string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, a := range r.arrivals {
+		if strings.HasPrefix(a, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestEndlessBodies: bodies and events without end hold little memory, and don't
+// look complete.
+func TestEndlessBodies(t *testing.T) {
+	pour := func(text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			chunk := strings.Repeat(text, 1+4096/len(text))
+			for sum := 0; sum < 64<<20; sum += len(chunk) {
+				if _, err := io.WriteString(w, chunk); err != nil {
+					return
+				}
+			}
+		}
+	}
+	for _, c := range []struct{ name, path, text string }{
+		{"a body", "/read/", "x"},
+		{"a body of a request that runs once", "/book/", "x"},
+		{"an event", "/draft/", "data: x\n"},
+		{"an event of a stream that runs once", "/reply/", "x"},
+	} {
+		play(t, func(r *rig) {
+			got, _ := r.send(r.t.Context(), c.path, "")
+			if !got.Cut && got.Status < 500 || len(got.Body) > 9<<20 {
+				t.Errorf("%s: status %d, %d bytes, cut %t", c.name, got.Status, len(got.Body), got.Cut)
+			}
+			time.Sleep(time.Second)
+			if used := r.forwarder.Memory.Used(); used != 0 {
+				t.Errorf("%s: %d bytes are still held", c.name, used)
+			}
+		}, pour(c.text), pour(c.text))
+	}
+}
+
+// TestMemoryOfAnswers: many long answers come at once. What is kept of them stays
+// within the limit, and all are passed on.
+func TestMemoryOfAnswers(t *testing.T) {
+	const limit, size = 256 << 10, 200 << 10
+	var rigged *rig
+	most := int64(0)
+	long := func(w http.ResponseWriter, _ *http.Request) {
+		for range size / 4096 {
+			_, _ = io.WriteString(w, strings.Repeat("x", 4096))
+			rigged.mu.Lock()
+			most = max(most, rigged.forwarder.Memory.Used())
+			rigged.mu.Unlock()
+			time.Sleep(time.Millisecond)
+		}
+	}
+	play(t, func(r *rig) {
+		rigged = r
+		r.forwarder.Memory.Limit = limit
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				if got, _ := r.send(r.t.Context(), "/book/", ""); got.Status != http.StatusOK || len(got.Body) != size || got.Cut {
+					t.Errorf("status %d, %d bytes, cut %t", got.Status, len(got.Body), got.Cut)
+				}
+			})
+		}
+		callers.Wait()
+		if most > limit || most < limit/2 {
+			t.Errorf("%d bytes were held at most, want nearly the limit of %d", most, limit)
+		}
+	}, long)
+}
+
+// TestSlowStreams: a stream whose pauses are longer than usual, but within what the
+// route bears, stays at its endpoint. One that sends bytes now and then and no
+// event goes on elsewhere.
+func TestSlowStreams(t *testing.T) {
+	flush := func(w http.ResponseWriter, text string) {
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+	}
+	sound := func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 5 {
+			flush(w, text(i+1, i+1))
+			time.Sleep(3 * time.Second)
+		}
+	}
+	var rigged *rig
+	first := true
+	trickle := func(w http.ResponseWriter, q *http.Request) {
+		if !first {
+			events(5, true)(w, q)
+			return
+		}
+		first = false
+		flush(w, text(1, 2)+"id: 3\ndata: ")
+		for q.Context().Err() == nil {
+			rigged.state.Evidence.Read(rigged.state.Elapsed())
+			flush(w, "x")
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	for _, c := range []struct {
+		name     string
+		endpoint http.HandlerFunc
+		arrivals int
+		most     time.Duration
+	}{
+		{"slow", sound, 1, 16 * time.Second},
+		{"trickling", trickle, 2, 6 * time.Second},
+	} {
+		play(t, func(r *rig) {
+			rigged = r
+			begin := time.Now()
+			got, _ := r.send(r.t.Context(), "/slow/", "")
+			if diff := cmp.Diff(answer{200, text(1, 5), false}, got); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", c.name, diff)
+			}
+			if took := time.Since(begin); r.arrived() != c.arrivals || took > c.most {
+				t.Errorf("%s: arrivals %q in %s, want %d in %s", c.name, r.arrivals, took, c.arrivals, c.most)
+			}
+			// The first endpoint notices that its caller has left.
+			time.Sleep(time.Second)
+		}, c.endpoint, c.endpoint)
+	}
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"crocusrack/core/crbackoff"
@@ -38,6 +39,8 @@
 	unsent := 0
 	// failure is the last answer of an endpoint that was one of failure.
 	var failure *whole
+	// back is when the request may come back if none has run it.
+	back := firstRetry
 	for {
 		if x.sent > 0 && !x.mayRepeat() {
 			break
@@ -48,6 +51,7 @@
 				x.refuse(grant.Reason.String(), grant.RetryAfter)
 				return
 			}
+			back = grant.RetryAfter
 			break
 		}
 		x.trace.attempt(grant)
@@ -83,7 +87,7 @@
 		}
 		break
 	}
-	x.giveUp(ctx, failure)
+	x.giveUp(ctx, failure, back)
 }
 
 // unsentReasons tell why a request was sent to no endpoint.
@@ -121,14 +125,14 @@
 }
 
 // giveUp answers a request that was sent and has no success.
-func (x *exchange) giveUp(ctx context.Context, failure *whole) {
+func (x *exchange) giveUp(ctx context.Context, failure *whole, back time.Duration) {
 	switch {
 	case x.incoming.Context().Err() != nil:
 		x.trace.end(0, "caller-left", nil)
 	case failure != nil:
 		x.pass(failure)
 	case !x.trace.mayHaveRun:
-		x.refuse("endpoints-refused", firstRetry)
+		x.refuse("endpoints-refused", back)
 	case ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, "timeout", nil)
 	default:
@@ -177,7 +181,7 @@
 	defer answer.Close()
 	if x.Codec.NotRun(answer.Status, answer.Header) {
 		// Reading the answer to its end keeps the connection.
-		if _, err := x.readWhole(answer); err != nil {
+		if _, _, err := x.readWhole(answer); err != nil {
 			x.trace.last = err
 		}
 		x.end(g, crhealth.Refused)
@@ -231,9 +235,22 @@
 	if !errors.As(err, &failure) || failure.Sent {
 		x.sent++
 	}
+	if err == nil {
+		x.heed(g, answer)
+	}
 	return answer, err
 }
 
+// heed takes in what the head of an answer says of its endpoint.
+func (x *exchange) heed(g *crgrant.Grant, answer *crhop.Answer) {
+	if x.Codec.Leaving(answer.Header) && g.Leave(time.Now()) {
+		x.logLeaves(g)
+	}
+	if d := x.Codec.Pause(answer.Status, answer.Header); d > 0 {
+		x.logPaused(g, d, g.Pause(time.Now(), d))
+	}
+}
+
 // end ends a grant and logs when its endpoint was put out of use.
 func (x *exchange) end(g *crgrant.Grant, o crhealth.Outcome) {
 	if g.End(time.Now(), o) {
@@ -273,13 +290,19 @@
 
 // plain handles an answer that isn't a stream of events.
 func (x *exchange) plain(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
-	if answer.Length > wholeBody {
-		return x.copyThrough(ctx, g, answer)
+	if answer.Length > wholeBody && answer.Status < 500 {
+		return x.copyThrough(ctx, g, answer, nil)
+	}
+	body, more, err := x.readWhole(answer)
+	if err == nil && more && answer.Status >= 500 {
+		err = errTooLong
 	}
-	body, err := x.readWhole(answer)
 	if err != nil {
 		return x.unanswered(ctx, g, &crhop.Error{Sent: true, Cause: err})
 	}
+	if more {
+		return x.copyThrough(ctx, g, answer, body)
+	}
 	w := &whole{answer.Status, answer.Header, body}
 	if answer.Status >= 500 {
 		x.end(g, crhealth.Failed)
@@ -290,20 +313,37 @@
 	return result{verdict: done}
 }
 
-// errTooLong ends an answer without a length that doesn't fit in memory.
-var errTooLong = errors.New("the answer is longer than may be kept")
+// errTooLong ends an answer that is longer than may be kept, or than one without a
+// length may be.
+var errTooLong = errors.New("the answer is too long")
 
-// maxWhole bounds an answer whose length isn't known ahead.
-const maxWhole = 8 << 20
+// maxUnknown bounds an answer whose length isn't known ahead, in bytes.
+const maxUnknown = 8 << 20
 
-func (x *exchange) readWhole(answer *crhop.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWhole+1))
-	if err == nil && len(body) > maxWhole {
-		err = errTooLong
+// readWhole reads an answer as far as it may be kept; more is true when it is
+// longer.
+func (x *exchange) readWhole(answer *crhop.Answer) (body []byte, more bool, err error) {
+	for {
+		if len(body) == cap(body) {
+			if len(body) >= wholeBody || !x.hold(2*cap(body)) {
+				return body, true, nil
+			}
+			body = slices.Grow(body, max(firstRead, cap(body)))
+		}
+		n, err := answer.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, false, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
 	}
-	return body, err
 }
 
+// firstRead is the buffer for a short answer, in bytes.
+const firstRead = 2 << 10
+
 // pass gives the caller an endpoint's answer.
 func (x *exchange) pass(w *whole) {
 	x.trace.end(w.status, "answered", nil)
@@ -316,11 +356,14 @@
 	x.trace.wrote(err)
 }
 
-// copyThrough passes a long answer on as it comes.
-func (x *exchange) copyThrough(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
+// copyThrough passes a long answer on as it comes, after what was read of it.
+func (x *exchange) copyThrough(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer, begin []byte) result {
 	copyHeader(x.writer.Header(), answer.Header)
 	x.writer.WriteHeader(answer.Status)
-	_, err := io.Copy(x.writer, answer.Body)
+	_, err := x.writer.Write(begin)
+	if err == nil {
+		err = copyRest(x.writer, answer, int64(len(begin)))
+	}
 	if err != nil {
 		x.unanswered(ctx, g, err)
 		x.abort("answer-cut", err)
@@ -330,6 +373,19 @@
 	return result{verdict: done}
 }
 
+// copyRest copies what follows the first bytes of an answer.
+func copyRest(w io.Writer, answer *crhop.Answer, read int64) error {
+	if answer.Length >= 0 {
+		_, err := io.Copy(w, answer.Body)
+		return err
+	}
+	n, err := io.Copy(w, io.LimitReader(answer.Body, maxUnknown-read))
+	if err == nil && n == maxUnknown-read {
+		err = errTooLong
+	}
+	return err
+}
+
 // abort ends an answer that has begun in a way that can't look complete.
 func (x *exchange) abort(reason string, err error) {
 	x.trace.end(x.trace.status, reason, err)
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -58,12 +58,12 @@
 	probed   bool
 }
 
-// heard notes that the stream goes on.
+// heard notes a whole event: bytes alone show nothing.
 func (w *watcher) heard() { w.silence, w.probed = 0, false }
 
 // look is called after each gap of silence. It returns the wait until the next
 // look, or why the stream is given up: its endpoint takes no connections, or it
-// was silent for too long where another endpoint can go on.
+// had no event for too long where another endpoint can go on.
 func (w *watcher) look(ctx context.Context) (time.Duration, error) {
 	w.silence += stallGap
 	if !w.probed {
@@ -72,7 +72,7 @@
 			return 0, fmt.Errorf("%w, and its endpoint takes no connections: %w", errStalled, err)
 		}
 	}
-	if w.silence >= maxStall && w.route.Resumable {
+	if w.silence >= max(minStall, stallGaps*w.route.Gap) && w.route.Resumable {
 		return 0, errStalled
 	}
 	return stallGap, nil
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -17,7 +17,7 @@
 
 const (
 	// streamBuffer is the most that is read of a stream at once, in bytes.
-	streamBuffer = 16 << 10
+	streamBuffer = 4 << 10
 	// stallGap is the silence of a stream after which its endpoint is looked
 	// at. It is below the pauses that callers accept.
 	stallGap = 500 * time.Millisecond
@@ -28,15 +28,17 @@
 	// is lost delays a stream by hundreds of milliseconds; events that follow
 	// each other closely share one.
 	coalesce = 45 * time.Millisecond
-	// maxStall is the silence after which a stream is resumed elsewhere though
-	// its endpoint takes connections.
-	maxStall = 2500 * time.Millisecond
+	// minStall is the least time without a whole event after which a stream is
+	// resumed elsewhere though its endpoint takes connections; stallGaps is the same
+	// in pauses that the route allows between events.
+	minStall  = 2500 * time.Millisecond
+	stallGaps = 3
 )
 
 // stream passes events on as they come. A stream that breaks goes on at another
 // endpoint, inside the same answer, where its route lets it.
 func (x *exchange) stream(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
-	s := &streamer{exchange: x}
+	s := &streamer{exchange: x, splitter: crstream.Splitter{Limit: x.EventBytes}}
 	if x.request.LastEvent != "" {
 		if id, err := strconv.ParseUint(x.request.LastEvent, 10, 64); err == nil {
 			s.splitter.SetLast(id)
@@ -151,13 +153,21 @@
 			}
 			silence.Reset(next)
 		case p := <-pieces:
-			watch.heard()
-			silence.Reset(stallGap)
 			if len(p.data) > 0 {
 				g.Read(time.Now())
 			}
-			s.pending = append(s.pending, s.splitter.Write(p.data)...)
+			events, err := s.splitter.Write(p.data)
+			if len(events) > 0 {
+				watch.heard()
+				silence.Reset(stallGap)
+			}
+			s.pending = append(s.pending, events...)
+			if err == nil && !s.hold(s.splitter.Len()) {
+				err = errNoMemory
+			}
 			switch {
+			case err != nil:
+				return errors.Join(err, s.flush(answer))
 			case p.err == io.EOF:
 				// Also an answer without events has a header.
 				return s.write(answer, append(s.pending, s.splitter.Rest()...))
@@ -173,10 +183,15 @@
 	}
 }
 
-// read reads the body until it ends or ended is closed.
+// errNoMemory ends a stream with an unfinished event for which no memory is left.
+var errNoMemory = errors.New("no memory is left for an event")
+
+// read reads the body until it ends or ended is closed. A piece is valid until the
+// next one is taken.
 func read(body io.Reader, pieces chan<- piece, ended <-chan struct{}) {
+	buffer, other := make([]byte, streamBuffer), make([]byte, streamBuffer)
 	for {
-		buffer := make([]byte, streamBuffer)
+		buffer, other = other, buffer
 		n, err := body.Read(buffer)
 		select {
 		case pieces <- piece{buffer[:n], err}:
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -126,6 +126,17 @@
 	x.Log.Warn("entry: an endpoint is out of use for a while", fields...)
 }
 
+func (x *exchange) logLeaves(g *crgrant.Grant) {
+	x.Log.Info("entry: an endpoint says that it leaves",
+		zap.String("request", x.request.ID), zap.String("endpoint", g.Endpoint.ID))
+}
+
+func (x *exchange) logPaused(g *crgrant.Grant, asked, applied time.Duration) {
+	x.Log.Info("entry: an endpoint asks for no requests for a while",
+		zap.String("request", x.request.ID), zap.String("endpoint", g.Endpoint.ID),
+		zap.Duration("asked-ms", asked), zap.Duration("applied-ms", applied))
+}
+
 func (x *exchange) logResumed(g *crgrant.Grant, last string) {
 	x.trace.resumed++
 	x.Metrics.Resumed.Add(1)
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -138,7 +138,7 @@
 		Elapsed: r.Elapsed,
 		Urgent:  func() { r.link.Tell() },
 	}
-	r.hop = &crhop.Client{Opened: func() { r.Metrics.Connections.Add(1) }}
+	r.hop = &crhop.Client{Opened: func() { r.Metrics.Connections.Add(1) }, HeadBytes: s.AnswerHeadBytes}
 	r.forwarder = &crforward.Forwarder{
 		State:     r.state,
 		Hop:       r.hop,
@@ -147,6 +147,9 @@
 		Metrics:   &r.Metrics,
 		MaxKeyAge: time.Duration(keyAgeShare * float64(s.KeyRevocation)),
 		Closing:   r.closing.Load,
+
+		Memory:     crforward.Memory{Limit: s.AnswerMemoryBytes},
+		EventBytes: s.AnswerEventBytes,
 	}
 	packets, err := net.ListenPacket("udp4", s.Peer.String())
 	if err != nil {
@@ -226,6 +229,7 @@
 		sent, received := r.link.Bytes()
 		return map[string]int64{"sent": sent, "received": received}
 	}))
+	vars.Set("answer-bytes-held", expvar.Func(func() any { return r.forwarder.Memory.Used() }))
 	vars.Set("log-lines-dropped", expvar.Func(func() any { return r.LinesDropped() }))
 	metrics.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
