Report to the relay of a large failure domain only

Cause: in a domain of 59 instances each reported to all others (145 messages a second, and 40 digests of other domains, passed on 40 times).

Change: above 24 known instances in a domain all report to its relay, 5 times a second, and hear of the others in its bulletins: what is new of all domains, and the work of the whole fleet in one sum. Bulletins are passed on in groups as digests were. An instance that doesn't hear the relay reports to the next by rank, which passes bulletins on to it. An endpoint counts as unreachable for the fleet when two instances say so. What follows from all instances (size, relay, watchers) is kept for 50 ms. Names of other domains are told less often in larger fleets. The roster's relay and introductions have files of their own.

--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -95,6 +95,9 @@
 		r.digestedFull = now
 		s.fillDigest(now, m)
 	}
+	if s.roster.IsRelay(now, s.Self.Name) {
+		r.bulletin.add(m)
+	}
 	return m
 }
 
@@ -118,17 +121,29 @@
 		m.SilentMs = append(m.SilentMs, uint32(now.Sub(heard).Milliseconds()))
 	}
 	m.MembersHash = membersHash(members)
-	if s.reports.tellMembers(now, m.GetMembersHash()) {
+	pause := max(membersInterval, membersInterval*time.Duration(s.roster.Size(now))/digestFleet)
+	if s.reports.tellMembers(now, m.GetMembersHash(), pause) {
 		m.Members = members
 	}
-	for k, n := range s.work.Sums(func(name string) bool { return !strings.HasPrefix(name, domainPrefix) }) {
-		m.WorkEndpoints = append(m.WorkEndpoints, shortKey(k))
-		m.WorkRequests = append(m.WorkRequests, uint32(n))
+	m.WorkEndpoints, m.WorkRequests = workProto(s.work.Sums(func(name string) bool { return !strings.HasPrefix(name, domainPrefix) }))
+	m.Unreachable = s.unreachable(now)
+	m.LeavingEndpoints = s.leaving(now)
+}
+
+// unreachable returns the endpoints that a digest names as unreachable: those that
+// this instance can't reach and, where all report to it, those that several can't.
+func (s *State) unreachable(now time.Time) []uint64 {
+	if s.roster.IsRelay(now, s.Self.Name) {
+		for _, k := range s.health.Ejected(now) {
+			s.reports.suspects.note(now, k, s.Self.Name)
+		}
+		return s.reports.suspects.confirmed(now)
 	}
+	var list []uint64
 	for _, k := range s.health.Ejected(now) {
-		m.Unreachable = append(m.Unreachable, uint64(k))
+		list = append(list, uint64(k))
 	}
-	m.LeavingEndpoints = s.leaving(now)
+	return list
 }
 
 // shortKey is the part of an endpoint's key that digests name it by. Among 6,000
@@ -148,11 +163,11 @@
 
 // tellMembers reports whether a digest is to name the members: they changed
 // lately, or weren't named for a while.
-func (r *reports) tellMembers(now time.Time, hash uint64) bool {
+func (r *reports) tellMembers(now time.Time, hash uint64, pause time.Duration) bool {
 	if hash != r.members {
 		r.members, r.membersChanged = hash, now
 	}
-	if now.Sub(r.membersChanged) > membersRepeat && now.Sub(r.membersTold) < membersInterval {
+	if now.Sub(r.membersChanged) > membersRepeat && now.Sub(r.membersTold) < pause {
 		return false
 	}
 	r.membersTold = now
@@ -170,13 +185,7 @@
 	if err := s.takeMembers(now, m); err != nil {
 		return err
 	}
-	work := make(map[crledger.Key]int, len(m.GetWorkEndpoints()))
-	for i, short := range m.GetWorkEndpoints() {
-		if k, known := s.short[short]; known && i < len(m.GetWorkRequests()) {
-			work[k] += int(m.GetWorkRequests()[i])
-		}
-	}
-	s.work.Report(now, domainPrefix+m.GetFailureDomain(), work)
+	s.work.Report(now, domainPrefix+m.GetFailureDomain(), s.takeWorkSums(m.GetWorkEndpoints(), m.GetWorkRequests()))
 	for _, k := range m.GetUnreachable() {
 		s.health.Heard(now, crledger.Key(k))
 	}
@@ -227,10 +236,19 @@
 }
 
 // forward returns how the digest of another domain reaches the instances of the
-// own one. In a large domain the relay sends it to some, which pass it on: no
-// link carries it for all. Others do so each time, so that one that is lost
-// costs others a single digest.
+// own one: at once, or in a large domain with the next bulletin.
 func (s *State) forward(now time.Time, m *pb.Report) []Delivery {
+	if s.roster.IsRelay(now, s.Self.Name) {
+		s.reports.bulletin.add(m.GetDigest())
+		return nil
+	}
+	return s.spread(now, &pb.Report{From: m.GetFrom(), Digest: m.GetDigest(), Forwarded: true})
+}
+
+// spread returns how a report reaches the instances of the own domain. In a large
+// domain it is sent to some, which pass it on: no link carries it for all. Others
+// do so each time, so that one that is lost costs others a single report.
+func (s *State) spread(now time.Time, m *pb.Report) []Delivery {
 	targets := s.roster.Targets(now)
 	size := 1
 	if len(targets) > directForwards {
@@ -241,7 +259,7 @@
 	}
 	var list []Delivery
 	for group := range slices.Chunk(targets, size) {
-		d := Delivery{group[0].Peer, &pb.Report{From: m.GetFrom(), Digest: m.GetDigest(), Forwarded: true}}
+		d := Delivery{group[0].Peer, &pb.Report{From: m.GetFrom(), Digest: m.GetDigest(), Bulletin: m.GetBulletin(), Forwarded: true}}
 		for _, i := range group[1:] {
 			d.Report.PassTo = append(d.Report.PassTo, i.Peer.String())
 		}
@@ -258,7 +276,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("address to pass a digest on to: %w", err)
 		}
-		list = append(list, Delivery{to, &pb.Report{From: m.GetFrom(), Digest: m.GetDigest(), Forwarded: true}})
+		list = append(list, Delivery{to, &pb.Report{From: m.GetFrom(), Digest: m.GetDigest(), Bulletin: m.GetBulletin(), Forwarded: true}})
 	}
 	return list, nil
 }
--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,12 +28,14 @@
 	crossing, inside int
 	// introduced counts the instances named to new ones.
 	introduced int
-	// sent counts the bytes by sender.
-	sent map[string]int
+	// sent counts the bytes by sender, messages the datagrams.
+	sent, messages map[string]int
+	// cut are pairs of instances that don't hear each other.
+	cut map[[2]string]bool
 }
 
 func newFleet(t testing.TB, size int) *fleet {
-	f := &fleet{t: t, now: start, nodes: map[string]*node{}, down: map[string]bool{}, sent: map[string]int{}}
+	f := &fleet{t: t, now: start, nodes: map[string]*node{}, down: map[string]bool{}, sent: map[string]int{}, messages: map[string]int{}, cut: map[[2]string]bool{}}
 	var list []*crplace.Endpoint
 	for i := range 9 {
 		list = append(list, endpoint(t, fmt.Sprint("llm-", i)))
@@ -56,7 +59,8 @@
 func (f *fleet) deliver(from, to string, m *pb.Report) {
 	f.t.Helper()
 	sender, receiver := f.nodes[from], f.nodes[to]
-	if receiver == nil || f.down[to] {
+	f.messages[from]++
+	if receiver == nil || f.down[to] || f.cut[[2]string{from, to}] || f.cut[[2]string{to, from}] {
 		return
 	}
 	if sender.Self.FailureDomain != receiver.Self.FailureDomain {
@@ -103,6 +107,13 @@
 			if f.down[name] {
 				continue
 			}
+			bulletin, err := n.Bulletin(f.now)
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			for _, d := range bulletin {
+				f.deliver(name, f.name(d.To), d.Report)
+			}
 			for _, d := range n.Due(f.now) {
 				m := n.Compose(f.now, d.Name)
 				if d.Brief {
@@ -174,21 +185,27 @@
 // TestRelayIsReplaced: when the relay of a domain dies, another takes over, and no
 // live instance is taken for lost meanwhile.
 func TestRelayIsReplaced(t *testing.T) {
-	f := newFleet(t, 30)
+	for _, size := range []int{30, 99} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { replaceRelay(t, size) })
+	}
+}
+
+func replaceRelay(t *testing.T, size int) {
+	f := newFleet(t, size)
 	f.run(4 * time.Second)
 	dead := f.relays()[0]
 	f.down[dead] = true
 	for range 20 {
 		f.run(200 * time.Millisecond)
 		for _, name := range f.names {
-			if !f.down[name] && len(f.nodes[name].Alive(f.now)) < 28 {
-				t.Fatalf("%s knows %d others %s after the loss of one of 30", name, len(f.nodes[name].Alive(f.now)), f.now.Sub(start)-4*time.Second)
+			if !f.down[name] && len(f.nodes[name].Alive(f.now)) < size-2 {
+				t.Fatalf("%s knows %d others %s after the loss of one of %d", name, len(f.nodes[name].Alive(f.now)), f.now.Sub(start)-4*time.Second, size)
 			}
 		}
 	}
 	for _, name := range f.names {
-		if got := len(f.nodes[name].Alive(f.now)); !f.down[name] && got != 28 {
-			t.Errorf("%s knows %d others, want 28", name, got)
+		if got := len(f.nodes[name].Alive(f.now)); !f.down[name] && got != size-2 {
+			t.Errorf("%s knows %d others, want %d", name, got, size-2)
 		}
 	}
 	if got := len(f.relays()); got != 3 {
@@ -196,6 +213,60 @@
 	}
 }
 
+// TestCutOffFromRelay: an instance of a large domain doesn't hear its relay, though
+// others do. It keeps hearing of the fleet through the next one, and its own
+// knowledge of the store stays fresh.
+func TestCutOffFromRelay(t *testing.T) {
+	f := newFleet(t, 99)
+	f.run(4 * time.Second)
+	relay := f.relays()[0]
+	var member string
+	for _, name := range f.names {
+		if name != relay && f.nodes[name].Self.FailureDomain == f.nodes[relay].Self.FailureDomain {
+			member = name
+		}
+	}
+	f.cut[[2]string{relay, member}] = true
+	f.run(3 * time.Second)
+	for range 10 {
+		f.run(200 * time.Millisecond)
+		if got := len(f.nodes[member].Alive(f.now)); got < 97 {
+			t.Errorf("%s knows %d others, want 97", member, got)
+		}
+	}
+	if got := len(f.relays()); got != 3 {
+		t.Errorf("relays %v, want three", f.relays())
+	}
+	f.cut = nil
+	f.run(3 * time.Second)
+	if got := len(f.nodes[relay].Alive(f.now)); got != 98 {
+		t.Errorf("the relay knows %d others afterwards, want 98", got)
+	}
+}
+
+// TestMessagesOfLargeFleets: what an instance sends doesn't grow with the fleet but
+// for the relays.
+func TestMessagesOfLargeFleets(t *testing.T) {
+	t.Parallel()
+	const span = 4 * time.Second
+	for _, size := range []int{99, 300} {
+		f := newLargeFleet(t, size)
+		f.run(span)
+		clear(f.messages)
+		f.run(span)
+		relays := f.relays()
+		for _, name := range f.names {
+			most := 20
+			if slices.Contains(relays, name) {
+				most = 10 * size / 3
+			}
+			if got := f.messages[name] / int(span.Seconds()); got > most {
+				t.Errorf("%d instances: %s sends %d messages a second, want at most %d", size, name, got, most)
+			}
+		}
+	}
+}
+
 // TestIntroductions: when all of a large fleet start at once, each is told of its
 // own domain a few times over, not by everyone of everyone.
 func TestIntroductions(t *testing.T) {
--- a/core/crgrant/grant_test.go
+++ b/core/crgrant/grant_test.go
@@ -27,7 +27,7 @@
 
 func newNode(i int) *node {
 	n := &node{elapsed: time.Duration(i) * time.Hour}
-	a := netip.AddrFrom4([4]byte{10, 0, 0, byte(i)})
+	a := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})
 	n.State = &crgrant.State{
 		Self: crroster.Instance{
 			Name: fmt.Sprint("instance-", i), FailureDomain: "noord-a",
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -48,8 +48,12 @@
 	membersChanged, membersTold time.Time
 	// told are the members of other domains.
 	told map[string]toldMembers
-	// forwards counts the digests that were passed to the own domain.
+	// forwards counts the digests and bulletins that were passed to the own domain.
 	forwards uint64
+	// bulletin is the next one, and suspects are what instances of the own domain
+	// couldn't reach, of the relay of a large domain.
+	bulletin bulletin
+	suspects suspects
 }
 
 type recentContext struct {
@@ -105,6 +109,11 @@
 	for _, i := range s.roster.News(now) {
 		m.Peers = append(m.Peers, peerProto(i))
 	}
+	m.ToRelay = s.roster.IsRelay(now, to)
+	if s.roster.IsRelay(now, s.Self.Name) {
+		// Its bulletins tell the rest.
+		return m
+	}
 	for k, n := range s.work.Own() {
 		if len(m.WorkEndpoints) < maxWork {
 			m.WorkEndpoints = append(m.WorkEndpoints, uint64(k))
@@ -241,8 +250,7 @@
 		}
 	}
 	if m.GetForwarded() {
-		forward, err := passOn(m)
-		return Heard{From: from, Forward: forward}, err
+		return s.receiveForwarded(now, from, m)
 	}
 	for _, p := range m.GetPeers() {
 		i, err := peerFromProto(p)
@@ -259,6 +267,9 @@
 		From: from, New: !known, Behind: s.behind(m),
 		Introduce: !known && s.roster.Introduces(now, from.Name, m.GetSeeking()),
 	}
+	if m.GetToRelay() {
+		s.roster.Follow(now, from.Name)
+	}
 	if m.Digest == nil {
 		s.takeWork(now, from.Name, m)
 		return h, nil
@@ -270,6 +281,22 @@
 	return h, nil
 }
 
+// receiveForwarded takes in a bulletin of the own domain's relay, or passes the
+// digest of another domain on.
+func (s *State) receiveForwarded(now time.Time, from crroster.Instance, m *pb.Report) (Heard, error) {
+	forward, err := passOn(m)
+	if err != nil {
+		return Heard{From: from}, err
+	}
+	if m.Bulletin != nil && from.FailureDomain == s.Self.FailureDomain {
+		if err := s.takeBulletin(now, m.GetBulletin()); err != nil {
+			return Heard{From: from}, fmt.Errorf("bulletin of %s: %w", from.Name, err)
+		}
+		forward = append(forward, s.passToFollowers(now, m)...)
+	}
+	return Heard{From: from, Forward: forward}, nil
+}
+
 // receiveBrief takes a brief report in. One of an instance that isn't known is of
 // no use: it sends others as well.
 func (s *State) receiveBrief(now time.Time, m *pb.Report) Heard {
@@ -331,6 +358,13 @@
 		}
 	}
 	s.work.Report(now, name, work)
+	if s.roster.IsRelay(now, s.Self.Name) {
+		// Each reports by itself now: what an earlier relay said counts them twice.
+		s.work.Report(now, fleetWork, nil)
+		for _, k := range m.GetUnreachable() {
+			s.reports.suspects.note(now, crledger.Key(k), name)
+		}
+	}
 	for _, c := range m.GetContexts() {
 		s.takeContext(now, c)
 		s.reports.relay(now, c)
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -79,6 +79,8 @@
 	added time.Time
 	// relayed is true when the relay of its domain reported it last.
 	relayed bool
+	// followed is when it last took this instance for the relay of its domain.
+	followed time.Time
 	// watch ranks it among the watchers, relay among the relays of its domain.
 	watch, relay uint64
 }
@@ -97,6 +99,8 @@
 	// counts the ticks.
 	every int
 	tick  uint64
+	// current is the last view; nil when it no longer holds.
+	current *view
 }
 
 // every is how many ticks lie between two reports to each of so many targets: it
@@ -114,10 +118,11 @@
 	}
 	if e := r.peers[i.Name]; e != nil {
 		if now.Sub(e.heard) > SilentAfter {
-			e.Instance = i
+			e.Instance, r.current = i, nil
 		}
 		return false
 	}
+	r.current = nil
 	r.peers[i.Name] = &entry{Instance: i, added: now, watch: watchScore(i), relay: relayScore(i)}
 	return true
 }
@@ -133,6 +138,7 @@
 	if e.Run == s.Run && s.Sequence <= e.Sequence {
 		return false
 	}
+	r.changed(now, e, i, s)
 	e.Instance, e.Status, e.heard, e.relayed = i, s, now, false
 	return true
 }
@@ -149,8 +155,8 @@
 // instances: they are lost as soon as those that report by themselves would be.
 func (r *Roster) Missing(domain string, named map[string]bool) {
 	for name, e := range r.peers {
-		if e.FailureDomain == domain && !named[name] {
-			e.relayed = false
+		if e.FailureDomain == domain && !named[name] && e.relayed {
+			e.relayed, r.current = false, nil
 		}
 	}
 }
@@ -165,6 +171,7 @@
 	if e.Run == s.Run {
 		s.Sequence = max(s.Sequence, e.Sequence)
 	}
+	r.changed(now, e, i, s)
 	e.Instance, e.Status, e.heard, e.relayed = i, s, heard, true
 }
 
@@ -181,8 +188,13 @@
 
 // TellsOn reports whether this instance has to tell its failure domain at once
 // what it learned from another. In a large fleet that is only so of news from
-// another domain: those of the own one have told all instances there.
+// another domain: those of the own one have told all instances there. In a large
+// domain the relay tells all of them, and the others the relay.
 func (r *Roster) TellsOn(now time.Time, from string) bool {
+	if r.ViaRelay(now) {
+		relay := r.relay(now)
+		return relay == r.Self.Name || relay != from
+	}
 	e := r.peers[from]
 	return e == nil || e.FailureDomain != r.Self.FailureDomain || !r.Large(now)
 }
@@ -210,168 +222,6 @@
 	return list
 }
 
-// relayScore ranks the instances of a domain as relays.
-func relayScore(i Instance) uint64 { return crhash.Mix(crhash.Of(i.Name), crhash.Of("relay")) }
-
-// Relays reports whether this instance is the relay of its domain.
-func (r *Roster) Relays(now time.Time) bool {
-	if !r.Large(now) {
-		return false
-	}
-	return r.relay(now) == r.Self.Name
-}
-
-// Digests returns the instances to send a digest to: the relay of each other
-// domain, or two of its instances while none of them is known to live.
-func (r *Roster) Digests(now time.Time) []Instance {
-	domains := make(map[string][]Instance)
-	for _, e := range r.peers {
-		if e.FailureDomain != r.Self.FailureDomain {
-			domains[e.FailureDomain] = append(domains[e.FailureDomain], e.Instance)
-		}
-	}
-	var list []Instance
-	for domain, known := range domains {
-		count, candidates := 1, r.Domain(now, domain)
-		if len(candidates) == 0 {
-			count, candidates = 2, known
-		}
-		slices.SortFunc(candidates, func(a, b Instance) int { return cmp.Compare(relayScore(a), relayScore(b)) })
-		list = append(list, candidates[:min(count, len(candidates))]...)
-	}
-	slices.SortFunc(list, byName)
-	return list
-}
-
-// Targets returns the instances to send reports to, by name, and drops those
-// that have been silent for long. In a large fleet they are those of the own
-// failure domain.
-func (r *Roster) Targets(now time.Time) []Instance {
-	large := r.Large(now)
-	var list []Instance
-	for name, e := range r.peers {
-		last := e.added
-		if e.heard.After(last) {
-			last = e.heard
-		}
-		if now.Sub(last) > forgetAfter {
-			delete(r.peers, name)
-			continue
-		}
-		if !large || e.FailureDomain == r.Self.FailureDomain {
-			list = append(list, e.Instance)
-		}
-	}
-	r.every = every(len(list))
-	r.silentAfter = time.Duration(missedReports * float64(r.every) * float64(ReportInterval))
-	slices.SortFunc(list, byName)
-	return list
-}
-
-// Due is a target of the reports of one tick. A brief report says how fresh the
-// sender's knowledge is, and not what it works on.
-type Due struct {
-	Instance
-	Brief bool
-}
-
-// Due returns the targets of the reports of one tick. In a large failure domain
-// each gets a report at some ticks only. The relay and those that watch the store
-// exchange brief ones with all at the others: what they say of the store has to
-// be fresh.
-func (r *Roster) Due(now time.Time) []Due {
-	targets := r.Targets(now)
-	r.tick++
-	own := r.every > 1 && (r.Relays(now) || r.Watches(now))
-	watchers, relay := r.watchers(now), r.relay(now)
-	var list []Due
-	for _, i := range targets {
-		brief := (r.tick+crhash.Of(i.Name))%uint64(r.every) != 0
-		fresh := own || i.Name == relay || slices.ContainsFunc(watchers, func(c candidate) bool { return c.Name == i.Name })
-		if fresh || !brief {
-			list = append(list, Due{i, brief})
-		}
-	}
-	return list
-}
-
-// Every is how many ticks lie between two reports to most targets.
-func (r *Roster) Every() int { return max(1, r.every) }
-
-// relay returns the name of the relay of the own failure domain.
-func (r *Roster) relay(now time.Time) string {
-	name, first := r.Self.Name, relayScore(r.Self)
-	for _, e := range r.peers {
-		if e.relay < first && e.FailureDomain == r.Self.FailureDomain && r.alive(now, e) {
-			name, first = e.Name, e.relay
-		}
-	}
-	return name
-}
-
-// Introduces reports whether this instance tells one that is new of others. In a
-// large fleet three do, and those that it asked.
-func (r *Roster) Introduces(now time.Time, name string, asked bool) bool {
-	return asked || !r.Large(now) || r.Chosen(now, crhash.Mix(crhash.Of(name), crhash.Of("introduce")), introducers)
-}
-
-// Introduction returns the instances that one of a failure domain is told of when
-// it is new, by name: in a large fleet those of its own domain and some of each
-// other one.
-func (r *Roster) Introduction(now time.Time, domain string) []Instance {
-	var list []Instance
-	if r.Large(now) {
-		list = r.Contacts(now, domain)
-	}
-	for _, e := range r.peers {
-		if !r.Large(now) || e.FailureDomain == domain {
-			list = append(list, e.Instance)
-		}
-	}
-	slices.SortFunc(list, byName)
-	return list
-}
-
-// News returns some instances that came lately, others at each tick: of two that
-// start at the same time neither may have been told of the other, and a relay not
-// of another domain.
-func (r *Roster) News(now time.Time) []Instance {
-	if !r.Large(now) {
-		return nil
-	}
-	var list []Instance
-	for _, e := range r.peers {
-		if now.Sub(e.added) < newsFor && (e.FailureDomain == r.Self.FailureDomain || r.alive(now, e)) {
-			list = append(list, e.Instance)
-		}
-	}
-	if len(list) <= newsAtOnce {
-		return list
-	}
-	slices.SortFunc(list, byName)
-	first := int(crhash.Mix(r.tick, crhash.Of(r.Self.Name)) % uint64(len(list)-newsAtOnce+1))
-	return list[first : first+newsAtOnce]
-}
-
-// Contacts returns some instances of each failure domain but this one's and
-// another, live ones if there are any: enough for relays to find each other.
-func (r *Roster) Contacts(now time.Time, except string) []Instance {
-	domains := make(map[string][]*entry)
-	for _, e := range r.peers {
-		if e.FailureDomain != except && e.FailureDomain != r.Self.FailureDomain {
-			domains[e.FailureDomain] = append(domains[e.FailureDomain], e)
-		}
-	}
-	var list []Instance
-	for _, entries := range domains {
-		slices.SortFunc(entries, func(a, b *entry) int { return b.heard.Compare(a.heard) })
-		for _, e := range entries[:min(contacts, len(entries))] {
-			list = append(list, e.Instance)
-		}
-	}
-	return list
-}
-
 // Alive returns the instances that reported lately, by name, without this one.
 func (r *Roster) Alive(now time.Time) []Instance {
 	var list []Instance
@@ -399,15 +249,7 @@
 }
 
 // Size returns the count of live instances, this one included.
-func (r *Roster) Size(now time.Time) int {
-	size := 1
-	for _, e := range r.peers {
-		if r.alive(now, e) {
-			size++
-		}
-	}
-	return size
-}
+func (r *Roster) Size(now time.Time) int { return r.view(now).size }
 
 func byName(a, b Instance) int { return cmp.Compare(a.Name, b.Name) }
 
@@ -452,7 +294,9 @@
 // watchers returns the instances that watch the store, the first of them also
 // writes to it. They are of different failure domains if there are any; those
 // that are unfit come last.
-func (r *Roster) watchers(now time.Time) []candidate {
+func (r *Roster) watchers(now time.Time) []candidate { return r.view(now).watchers }
+
+func (r *Roster) findWatchers(now time.Time) []candidate {
 	var chosen []candidate
 	for _, distinct := range []bool{true, false} {
 		for len(chosen) < watcherCount {
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -132,13 +132,18 @@
 
 // report sends the reports that are due, or one to each target at once.
 func (l *Link) report(now time.Time, urgent bool) {
-	if urgent {
-		for _, i := range l.State.Targets(now) {
-			l.send(i.Peer, l.State.Compose(now, i.Name))
-		}
-		return
+	due := l.State.DueAtOnce
+	if !urgent {
+		due = l.State.Due
+	}
+	bulletin, err := l.State.Bulletin(now)
+	if err != nil {
+		l.Log.Error("link: a bulletin can't be made", zap.Error(err))
+	}
+	for _, d := range bulletin {
+		l.send(d.To, d.Report)
 	}
-	for _, d := range l.State.Due(now) {
+	for _, d := range due(now) {
 		if d.Brief {
 			l.send(d.Peer, l.State.ComposeBrief(now, d.Name))
 		} else {
@@ -150,15 +155,14 @@
 // sendDigests tells other failure domains of the own one, if this instance is
 // its relay.
 func (l *Link) sendDigests(now time.Time) {
-	targets := l.State.Digests(now)
-	if len(targets) == 0 {
+	if !l.State.Relays(now) {
 		return
 	}
 	digest := l.State.Digest(now, l.digest.Swap(false))
 	if digest == nil {
 		return
 	}
-	for _, i := range targets {
+	for _, i := range l.State.Digests(now) {
 		l.send(i.Peer, l.State.ComposeDigest(now, i.Name, digest))
 	}
 }
