Turn away what would outlast a planned stop

Cause: an instance that stops took requests until it ended, 7.7 s after the signal, and cut off those that were still running: just accepted ones under load.

Change: from the time on at which it closes its connections (2.4 s), it refuses a request whose deadline lies after its end, before it runs, with the time to go to another instance. Others are taken as before.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -34,6 +34,9 @@
 	// firstRetry is after what time a request may come back to an instance
 	// that has no routing yet, or none that is fresh enough.
 	firstRetry = 400 * time.Millisecond
+	// leavingRetry is after what time a request may come back that this instance
+	// can't finish before it ends: another one takes it at once.
+	leavingRetry = 20 * time.Millisecond
 	// bodyTimeout bounds the wait for a request's body.
 	bodyTimeout = 10 * time.Second
 	// writeTimeout bounds the wait for a caller that doesn't read.
@@ -112,6 +115,9 @@
 	MaxKeyAge time.Duration
 	// Closing reports whether connections are to be closed after their answer.
 	Closing func() bool
+	// StopAt returns when the process ends, once it takes only requests that end
+	// before that; the zero time until then. It may be nil.
+	StopAt func() time.Time
 	// Memory bounds what is kept of answers.
 	Memory Memory
 	// EventBytes is the largest event of a stream; crstream.DefaultLimit when zero.
@@ -178,9 +184,24 @@
 		return false
 	}
 	x.setDeadline()
+	if x.outlastsStop() {
+		x.writer.Header().Set("Connection", "close")
+		x.refuse("leaving", leavingRetry)
+		return false
+	}
 	return x.readBody()
 }
 
+// outlastsStop reports whether the request may still be running when the process
+// ends, which would cut it off.
+func (x *exchange) outlastsStop() bool {
+	if x.StopAt == nil {
+		return false
+	}
+	stop := x.StopAt()
+	return !stop.IsZero() && x.deadline.After(stop)
+}
+
 func (x *exchange) findRoute() bool {
 	x.route = x.table.Route(x.incoming.Host, x.incoming.URL.Path)
 	if x.route == nil {
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -79,10 +79,12 @@
 	link      *crlink.Link
 	peers     *http.Client
 	closing   atomic.Bool
-	leaving   atomic.Bool
-	stop      chan struct{}
-	stopOnce  sync.Once
-	initOnce  sync.Once
+	// stopAt is when the process ends; nil before it turns away what lasts longer.
+	stopAt   atomic.Pointer[time.Time]
+	leaving  atomic.Bool
+	stop     chan struct{}
+	stopOnce sync.Once
+	initOnce sync.Once
 }
 
 // Stop ends Run in order: callers are sent elsewhere, and requests end.
@@ -147,6 +149,12 @@
 		Metrics:   &r.Metrics,
 		MaxKeyAge: time.Duration(keyAgeShare * float64(s.KeyRevocation)),
 		Closing:   r.closing.Load,
+		StopAt: func() time.Time {
+			if at := r.stopAt.Load(); at != nil {
+				return *at
+			}
+			return time.Time{}
+		},
 
 		Memory:     crforward.Memory{Limit: s.AnswerMemoryBytes},
 		EventBytes: s.AnswerEventBytes,
@@ -293,8 +301,10 @@
 	start := time.Now()
 	_ = crbackoff.Sleep(ctx, time.Duration(closingShare*float64(limit)))
 	r.closing.Store(true)
+	stopAt := start.Add(limit - stopMargin)
+	r.stopAt.Store(&stopAt)
 	quiet := time.Time{}
-	for time.Since(start) < limit-stopMargin && ctx.Err() == nil {
+	for time.Now().Before(stopAt) && ctx.Err() == nil {
 		_ = crbackoff.Sleep(ctx, 50*time.Millisecond)
 		if r.Metrics.InFlight.Value() > 0 {
 			quiet = time.Time{}
