--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +61,7 @@
 	contexts atomic.Bool
 	sent     atomic.Int64
 	received atomic.Int64
+	packed   packed
 }
 
 func (l *Link) init() {
@@ -312,35 +312,3 @@
 	m := &pb.Snapshot{}
 	return m, proto.Unmarshal(data, m)
 }
-
-// Register adds the snapshot to a server for peers.
-func (l *Link) Register(mux *http.ServeMux) {
-	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, r *http.Request) {
-		var have [3]uint64
-		for i, name := range []string{"routing", "endpoints", "outs"} {
-			n, err := strconv.ParseUint(r.FormValue(name), 10, 64)
-			if err != nil {
-				http.Error(w, fmt.Sprintf("%s is not a number: %q", name, r.FormValue(name)), http.StatusBadRequest)
-				return
-			}
-			have[i] = n
-		}
-		m := l.State.Snapshot(time.Now(), have[0], have[1], have[2])
-		if r.FormValue("contexts") == "true" {
-			m.Contexts = l.State.Contexts(time.Now())
-		}
-		data, err := proto.Marshal(m)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		// Many instances fetch a new version from few, over links that may be
-		// narrow.
-		w.Header().Set("Content-Type", "application/gzip")
-		z := gzip.NewWriter(w)
-		_, err = z.Write(data)
-		if err = errors.Join(err, z.Close()); err != nil {
-			l.Log.Debug("link: a snapshot wasn't taken", zap.Error(err))
-		}
-	})
-}
--- a/io/crlink/link_test.go
+++ b/io/crlink/link_test.go
@@ -1,7 +1,9 @@
 package crlink_test
 
 import (
+	"compress/gzip"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +13,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crroster"
@@ -83,3 +86,40 @@
 		t.Errorf("status %d, want 400", w.Code)
 	}
 }
+
+// TestSnapshotFollowsVersions: a snapshot is packed again when something is newer,
+// or when another one is asked for.
+func TestSnapshotFollowsVersions(t *testing.T) {
+	a, _ := instance(t, "instance-1", 1)
+	defer a.Packets.Close()
+	mux := http.NewServeMux()
+	a.Register(mux)
+	get := func(have string) uint64 {
+		w := httptest.NewRecorder()
+		mux.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/snapshot?endpoints=0&outs=0&routing="+have, nil))
+		z, err := gzip.NewReader(w.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := io.ReadAll(z)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &pb.Snapshot{}
+		if err := proto.Unmarshal(data, m); err != nil {
+			t.Fatal(err)
+		}
+		return m.GetRouting().GetVersion()
+	}
+	for version := uint64(1); version < 4; version++ {
+		a.State.SetRouting(&pb.Routing{Version: version})
+		for range 2 {
+			if got := get("0"); got != version {
+				t.Errorf("version %d, want %d", got, version)
+			}
+		}
+		if got := get("9"); got != 0 {
+			t.Errorf("an instance that has more got version %d", got)
+		}
+	}
+}
