Let instances with the most processor time relay and watch

Cause: the relay of a large domain sends and receives some 600 messages a second; on the large site most instances have 0.19 of a core and a few 0.8.

Change: an instance says how much processor time it has (setting cpu-share); relays and watchers are chosen by that first.

--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -506,7 +506,9 @@
 }
 
 func peerProto(i crroster.Instance) *pb.Peer {
-	return &pb.Peer{Name: i.Name, FailureDomain: i.FailureDomain, Front: i.Front.String(), Peer: i.Peer.String()}
+	return &pb.Peer{
+		Name: i.Name, FailureDomain: i.FailureDomain, Front: i.Front.String(), Peer: i.Peer.String(), Millicores: i.Millicores,
+	}
 }
 
 func peerFromProto(m *pb.Peer) (crroster.Instance, error) {
@@ -518,5 +520,7 @@
 	if err != nil {
 		return crroster.Instance{}, fmt.Errorf("peer address of instance %q: %w", m.GetName(), err)
 	}
-	return crroster.Instance{Name: m.GetName(), FailureDomain: m.GetFailureDomain(), Front: front, Peer: peer}, nil
+	return crroster.Instance{
+		Name: m.GetName(), FailureDomain: m.GetFailureDomain(), Front: front, Peer: peer, Millicores: m.GetMillicores(),
+	}, nil
 }
--- a/core/crroster/relay.go
+++ b/core/crroster/relay.go
@@ -90,7 +90,7 @@
 }
 
 // relayScore ranks the instances of a domain as relays.
-func relayScore(i Instance) uint64 { return crhash.Mix(crhash.Of(i.Name), crhash.Of("relay")) }
+func relayScore(i Instance) uint64 { return dutyScore(i, "relay") }
 
 // Relays reports whether this instance is the relay of its domain.
 func (r *Roster) Relays(now time.Time) bool {
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -60,6 +60,8 @@
 	FailureDomain string
 	// Front is where callers connect, Peer where reports go.
 	Front, Peer netip.AddrPort
+	// Millicores is the processor time that it has, in thousandths of a core.
+	Millicores uint32
 }
 
 // Status is what an instance says of itself in a report.
@@ -85,6 +87,13 @@
 	watch, relay uint64
 }
 
+// name sets what the instance is, and its ranks.
+func (e *entry) name(i Instance) {
+	if e.Instance != i {
+		e.Instance, e.watch, e.relay = i, watchScore(i), relayScore(i)
+	}
+}
+
 // Roster is the instances that this one knows. Set the exported fields before
 // first use.
 type Roster struct {
@@ -118,12 +127,15 @@
 	}
 	if e := r.peers[i.Name]; e != nil {
 		if now.Sub(e.heard) > SilentAfter {
-			e.Instance, r.current = i, nil
+			e.name(i)
+			r.current = nil
 		}
 		return false
 	}
 	r.current = nil
-	r.peers[i.Name] = &entry{Instance: i, added: now, watch: watchScore(i), relay: relayScore(i)}
+	e := &entry{added: now}
+	e.name(i)
+	r.peers[i.Name] = e
 	return true
 }
 
@@ -139,7 +151,8 @@
 		return false
 	}
 	r.changed(now, e, i, s)
-	e.Instance, e.Status, e.heard, e.relayed = i, s, now, false
+	e.name(i)
+	e.Status, e.heard, e.relayed = s, now, false
 	return true
 }
 
@@ -172,7 +185,8 @@
 		s.Sequence = max(s.Sequence, e.Sequence)
 	}
 	r.changed(now, e, i, s)
-	e.Instance, e.Status, e.heard, e.relayed = i, s, heard, true
+	e.name(i)
+	e.Status, e.heard, e.relayed = s, heard, true
 }
 
 func (r *Roster) alive(now time.Time, e *entry) bool {
@@ -350,7 +364,15 @@
 	return len(list) > 0 && list[0].Name == r.Self.Name
 }
 
-func watchScore(i Instance) uint64 { return crhash.Mix(crhash.Of(i.Name), crhash.Of("watch")) }
+func watchScore(i Instance) uint64 { return dutyScore(i, "watch") }
+
+// dutyScore ranks instances for a duty that takes processor time: those that have
+// more go first, and the others in an order of its own for each duty.
+func dutyScore(i Instance, duty string) uint64 {
+	const capacityBits = 16
+	lacks := uint64(1<<capacityBits - 1 - min(i.Millicores, 1<<capacityBits-1))
+	return lacks<<(64-capacityBits) | crhash.Mix(crhash.Of(i.Name), crhash.Of(duty))>>capacityBits
+}
 
 // Chosen reports whether this instance is one of the count that a key selects
 // among the live ones.
--- a/core/crroster/roster_test.go
+++ b/core/crroster/roster_test.go
@@ -142,3 +142,24 @@
 		}
 	}
 }
+
+// TestRelayHasMostProcessorTime: the duties that grow with the fleet go to instances
+// that have the most processor time.
+func TestRelayHasMostProcessorTime(t *testing.T) {
+	r := &crroster.Roster{Self: instance(0)}
+	for i := 1; i <= 99; i++ {
+		n := instance(i)
+		n.Millicores = 192
+		if i == 60 || i == 70 {
+			n.Millicores = 800
+		}
+		r.Report(start, n, crroster.Status{Run: 1, Sequence: 1, Ready: true})
+	}
+	if !r.IsRelay(start, instance(60).Name) {
+		t.Error("the relay of noord-a isn't the instance with the most processor time")
+	}
+	targets := r.Targets(start)
+	if len(targets) != 1 || targets[0].Name != instance(60).Name {
+		t.Errorf("reports go to %v", targets)
+	}
+}
--- a/core/crsettings/router.go
+++ b/core/crsettings/router.go
@@ -37,6 +37,8 @@
 	AnswerHeadBytes   int64
 	AnswerEventBytes  int
 	AnswerMemoryBytes int64
+	// CPUShare is the processor time that this instance has, in cores.
+	CPUShare float64
 }
 
 // RouterKeys returns every key of a router's settings, sorted by path.
@@ -51,6 +53,8 @@
 		Doc: "Largest head of an endpoint's answer, with the interim answers before it. The connection is reset beyond it."},
 	{Path: "answer-memory-bytes", Type: TypeInteger, Default: "25165824", Min: "1048576", Max: "17179869184", Unit: "bytes",
 		Doc: "What is kept of all answers together beside 16 KiB for each. Without room, a long answer is passed on as it comes, and isn't repeated when it breaks off."},
+	{Path: "cpu-share", Type: TypeNumber, Default: "1", Min: "0", Max: "60", Unit: "cores",
+		Doc: "Processor time that this instance has. Those with the most relay for the others of a large failure domain."},
 	{Path: "directory", Type: TypeAddress, Required: true,
 		Doc: "Address that answers callers who ask where to connect."},
 	{Path: "failure-domain", Type: TypeName, Required: true,
@@ -120,6 +124,7 @@
 		AnswerHeadBytes:   int64(m.GetAnswerHeadBytes()),
 		AnswerEventBytes:  int(m.GetAnswerEventBytes()),
 		AnswerMemoryBytes: int64(m.GetAnswerMemoryBytes()),
+		CPUShare:          m.GetCpuShare(),
 	}
 	for _, a := range m.GetSeeds() {
 		s.Seeds = append(s.Seeds, address(a))
--- a/core/crsettings/router_test.go
+++ b/core/crsettings/router_test.go
@@ -35,7 +35,7 @@
 		Peer: at(20504), Metrics: at(20505), Store: at(20500), Seeds: []netip.AddrPort{at(20504)},
 		KeyRevocation: 5 * time.Second, AddressLifetime: time.Second, StopTimeout: 8 * time.Second,
 		RetryShare: 0.2, RetrySlack: 10, RetryWindow: 10 * time.Second, LogLevel: "info",
-		AnswerHeadBytes: 32 << 10, AnswerEventBytes: 64 << 10, AnswerMemoryBytes: 24 << 20,
+		AnswerHeadBytes: 32 << 10, AnswerEventBytes: 64 << 10, AnswerMemoryBytes: 24 << 20, CPUShare: 1,
 	}
 	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -134,6 +134,7 @@
 	r.state = &crgrant.State{
 		Self: crroster.Instance{
 			Name: s.Instance, FailureDomain: s.FailureDomain, Front: s.Front, Peer: s.Peer,
+			Millicores: uint32(s.CPUShare * 1000),
 		},
 		Run:     r.RunNumber,
 		Retries: crgrant.RetryLimit{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow},
