--- a/stand/crsoak/soak.go
+++ b/stand/crsoak/soak.go
@@ -250,7 +250,14 @@
 	s.mu.Lock()
 	served := s.served
 	s.mu.Unlock()
-	served.SetTrouble(troubles[step.Target/7%len(troubles)])
+	trouble := troubles[step.Target/7%len(troubles)]
+	switch step.Target / 7 / len(troubles) % 3 {
+	case 1:
+		trouble.Endless = share / 2
+	case 2:
+		trouble.Paused = share
+	}
+	served.SetTrouble(trouble)
 	time.Sleep(step.For)
 	served.SetTrouble(crstandin.Trouble{})
 	return nil
