Let few instances read and write the store at a start

Each of 295 instances that start lists routing, endpoints (seven pages of 50) and failure domains, reads the kept contexts and registers with two calls: some 12 each.

Change: an instance that starts and isn't a seed waits 1.5 to 3 s for others to tell it what the store says. Only 16 live instances, and any that hears nobody, register.

--- a/core/crcontext/context.go
+++ b/core/crcontext/context.go
@@ -199,6 +199,14 @@
 	}
 }
 
+// Empty reports whether no chain is known.
+func (t *Table) Empty() bool {
+	for range t.chains.All() {
+		return false
+	}
+	return true
+}
+
 // Recent returns the holdings of shared chains that were of use since a time,
 // the latest first, at most limit of them.
 func (t *Table) Recent(since time.Time, limit int) []Holding {
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -15,6 +15,7 @@
 
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crevidence"
+	"crocusrack/core/crhash"
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
 	"crocusrack/core/crplace"
@@ -445,6 +446,18 @@
 	return s.roster.Leads(now)
 }
 
+// registered is how many live instances are to be found in the store: enough for
+// one that hears nobody to find a live one after a fault of many.
+const registered = 16
+
+// Registers reports whether this instance is one of those that are to be found in
+// the store.
+func (s *State) Registers(now time.Time) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Chosen(now, crhash.Of("register"), registered)
+}
+
 // Alive returns the other live instances.
 func (s *State) Alive(now time.Time) []crroster.Instance {
 	s.lock(now)
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -398,6 +398,14 @@
 	return m
 }
 
+// HasContexts reports whether this instance knows of contexts.
+func (s *State) HasContexts() bool {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.contexts.Empty()
+}
+
 // TakeContexts takes in what endpoints hold by another instance's word.
 func (s *State) TakeContexts(now time.Time, m *pb.Contexts) {
 	s.lock(now)
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -11,9 +11,11 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +52,11 @@
 	// closingShare is the part of the stop timeout after which answers say that
 	// their connection closes: by then callers have heard of other addresses.
 	closingShare = 0.3
+	// startPatience is how long an instance that starts, and isn't a seed itself,
+	// waits for others to tell it what the store says; it is longer by up to
+	// patienceSpread at random, as many may start at once without a seed.
+	startPatience  = 1500 * time.Millisecond
+	patienceSpread = 1500 * time.Millisecond
 	// stopMargin is how long before the end by force the process stops itself.
 	stopMargin = 300 * time.Millisecond
 )
@@ -176,6 +183,9 @@
 	r.Watcher.State = r.state
 	r.Watcher.Log = r.Log
 	r.Watcher.Changed = r.changed
+	if len(s.Seeds) > 0 && !slices.Contains(s.Seeds, s.Peer) {
+		r.Watcher.Patience = startPatience + time.Duration(rand.Int64N(int64(patienceSpread)))
+	}
 	return nil
 }
 
--- a/io/crwatch/checkpoint.go
+++ b/io/crwatch/checkpoint.go
@@ -61,7 +61,11 @@
 	}
 }
 
+// loadContexts reads what endpoints hold, unless others have told it by then.
 func (w *Watcher) loadContexts(ctx context.Context) {
+	if crbackoff.Sleep(ctx, w.Patience) != nil || w.State.HasContexts() {
+		return
+	}
 	retry := crbackoff.Backoff{Base: retryBase, Max: retryMax}
 	for attempt := range loadAttempts {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -85,12 +85,18 @@
 	Log      *zap.Logger
 	// Changed is called after something new came into force.
 	Changed func()
+	// Patience is how long an instance that starts waits for others to tell it what
+	// the store says, before it reads the store by itself: when a whole fleet starts,
+	// few need to read it.
+	Patience time.Duration
 
-	outage outage
+	started time.Time
+	outage  outage
 }
 
 // Run follows the store until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
+	w.started = time.Now()
 	var tasks sync.WaitGroup
 	tasks.Go(func() { follow(ctx, w, &routingKind{w}) })
 	tasks.Go(func() { follow(ctx, w, &endpointsKind{w: w}) })
@@ -103,11 +109,12 @@
 // needed reports whether this instance is to read a kind of objects now: it is
 // one of those that watch, or what it heard of the kind has grown old.
 func (w *Watcher) needed(e *crevidence.Evidence, oldest time.Duration) bool {
-	if w.State.Watches(time.Now()) {
-		return true
-	}
+	now := time.Now()
 	age, ok := e.Age(w.State.Elapsed())
-	return !ok || age > oldest
+	if !ok && now.Sub(w.started) < w.Patience {
+		return false
+	}
+	return w.State.Watches(now) || !ok || age > oldest
 }
 
 // kind is what is particular to one kind of objects.
@@ -185,31 +192,41 @@
 	return k.feed().Watch(ctx, position, k.wait())
 }
 
-// announce writes this instance to the store and, when no seed answers, reads
-// the others from there.
+// announce writes this instance to the store, if it is one of those that others are
+// to find there, or hears no other. In that case it also reads the others from there.
 func (w *Watcher) announce(ctx context.Context) {
-	retry := crbackoff.Backoff{Base: retryBase, Max: retryMax}
-	for attempt := 0; ctx.Err() == nil; attempt++ {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := w.Register(callCtx, w.State.Self)
-		cancel()
-		if err == nil {
-			break
+	registered, failures := false, 0
+	pause := w.Patience
+	for crbackoff.Sleep(ctx, pause) == nil {
+		pause = lonelyPause
+		alone := len(w.State.Alive(time.Now())) == 0
+		if !registered && (alone || w.State.Registers(time.Now())) {
+			if registered = w.register(ctx); !registered {
+				failures++
+				pause = min(retryBase<<min(failures, maxDoublings), lonelyPause)
+			}
 		}
-		w.Log.Warn("watch: this instance can't be registered yet", zap.Error(err))
-		_ = retry.Sleep(ctx, attempt)
-	}
-	for ctx.Err() == nil {
-		_ = crbackoff.Sleep(ctx, lonelyPause)
-		if len(w.State.Alive(time.Now())) > 0 {
-			continue
+		if alone {
+			w.findOthers(ctx)
 		}
-		w.findOthers(ctx)
 	}
 }
 
+// maxDoublings bounds how often the pause between two tries is doubled.
+const maxDoublings = 4
+
+func (w *Watcher) register(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := w.Register(ctx, w.State.Self); err != nil {
+		w.Log.Warn("watch: this instance can't be registered yet", zap.Error(err))
+		return false
+	}
+	return true
+}
+
 // lonelyPause is how often an instance that hears no other reads the store for
-// some.
+// some, and how often one looks whether it is to be found there.
 const lonelyPause = 3 * time.Second
 
 func (w *Watcher) findOthers(ctx context.Context) {
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -329,3 +329,29 @@
 		}
 	})
 }
+
+// TestStartWaitsForOthers: an instance that starts leaves the store alone while
+// others may tell it, and reads it by itself when nobody does.
+func TestStartWaitsForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, state := newStore("llm-1"), newState()
+		w := s.watcher(state)
+		w.Patience = 2 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			w.Run(ctx)
+		}()
+		time.Sleep(1900 * time.Millisecond)
+		if s.calls != 0 {
+			t.Errorf("%d calls while others may answer", s.calls)
+		}
+		time.Sleep(400 * time.Millisecond)
+		if diff := cmp.Diff([]string{"llm-1"}, endpoints(state)); diff != "" {
+			t.Errorf("endpoints (-want +got):\n%s", diff)
+		}
+		cancel()
+		<-done
+	})
+}
