--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -2,16 +2,13 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"crocusrack/core/crcontext"
 	"crocusrack/core/crevidence"
 	"crocusrack/core/crledger"
-	"crocusrack/core/crplace"
 	"crocusrack/core/crroster"
 	pb "crocusrack/schema/crrouter"
 )
@@ -375,46 +372,6 @@
 	s.takeLeaving(now, m.GetLeavingEndpoints())
 }
 
-func (s *State) takeContext(now time.Time, c *pb.Context) {
-	until := time.Time{}
-	if c.Reading != nil {
-		until = now.Add(c.GetReading().AsDuration())
-		s.reads.Until(crledger.Key(c.GetEndpoint()), until.Add(-readOverhead))
-	}
-	link := crcontext.Link{Chain: c.GetChain(), Tokens: int(c.GetTokens())}
-	s.contexts.Note(now, link, true, crledger.Key(c.GetEndpoint()), until)
-}
-
-// Contexts returns what endpoints hold and was of use lately.
-func (s *State) Contexts(now time.Time) *pb.Contexts {
-	s.lock(now)
-	defer s.mu.Unlock()
-	m := &pb.Contexts{}
-	for _, h := range s.contexts.Recent(now.Add(-checkpointAge), checkpointSize) {
-		if s.placer.Endpoint(h.Endpoint) != nil {
-			m.Contexts = append(m.Contexts, &pb.Context{Chain: h.Chain, Endpoint: uint64(h.Endpoint), Tokens: uint32(h.Tokens)})
-		}
-	}
-	return m
-}
-
-// HasContexts reports whether this instance knows of contexts.
-func (s *State) HasContexts() bool {
-	s.init()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.contexts.Empty()
-}
-
-// TakeContexts takes in what endpoints hold by another instance's word.
-func (s *State) TakeContexts(now time.Time, m *pb.Contexts) {
-	s.lock(now)
-	defer s.mu.Unlock()
-	for _, c := range slices.Backward(m.GetContexts()) {
-		s.takeContext(now, c)
-	}
-}
-
 func (s *State) behind(m *pb.Report) bool {
 	version := uint64(0)
 	if s.table != nil {
@@ -474,61 +431,3 @@
 	}
 	return nil
 }
-
-// NewEndpoint converts an endpoint as it was read at a time.
-func NewEndpoint(now time.Time, m *pb.Endpoint) (*crplace.Endpoint, error) {
-	address, err := netip.ParseAddrPort(m.GetAddress())
-	if err != nil {
-		return nil, fmt.Errorf("endpoint %s: %w", m.GetId(), err)
-	}
-	e := &crplace.Endpoint{
-		ID:            m.GetId(),
-		Key:           crplace.KeyOf(m.GetId(), m.GetIncarnation()),
-		Incarnation:   m.GetIncarnation(),
-		Service:       m.GetService(),
-		Address:       address,
-		FailureDomain: m.GetFailureDomain(),
-		Slots:         int(m.GetSlots()),
-		Draining:      m.GetDraining(),
-	}
-	if left := m.GetColdLeft().AsDuration(); left > 0 {
-		e.ColdUntil = now.Add(left)
-	}
-	return e, nil
-}
-
-func endpointProto(now time.Time, e *crplace.Endpoint) *pb.Endpoint {
-	m := &pb.Endpoint{
-		Id:            e.ID,
-		Incarnation:   e.Incarnation,
-		Service:       e.Service,
-		Address:       e.Address.String(),
-		FailureDomain: e.FailureDomain,
-		Slots:         uint32(e.Slots),
-		Draining:      e.Draining,
-	}
-	if left := e.ColdUntil.Sub(now); left > 0 {
-		m.ColdLeft = durationpb.New(left)
-	}
-	return m
-}
-
-func peerProto(i crroster.Instance) *pb.Peer {
-	return &pb.Peer{
-		Name: i.Name, FailureDomain: i.FailureDomain, Front: i.Front.String(), Peer: i.Peer.String(), Millicores: i.Millicores,
-	}
-}
-
-func peerFromProto(m *pb.Peer) (crroster.Instance, error) {
-	front, err := netip.ParseAddrPort(m.GetFront())
-	if err != nil {
-		return crroster.Instance{}, fmt.Errorf("front of instance %q: %w", m.GetName(), err)
-	}
-	peer, err := netip.ParseAddrPort(m.GetPeer())
-	if err != nil {
-		return crroster.Instance{}, fmt.Errorf("peer address of instance %q: %w", m.GetName(), err)
-	}
-	return crroster.Instance{
-		Name: m.GetName(), FailureDomain: m.GetFailureDomain(), Front: front, Peer: peer, Millicores: m.GetMillicores(),
-	}, nil
-}
