Let relays find each other after a loss of many instances

An instance that could not hear the relay by itself, while others could, kept reporting to it.

Change: such digests go to two others at each tick, and a live instance that gets one passes it to its relay, which answers. Silent instances are told bulletins by others, and pass none on.

--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -246,14 +246,18 @@
 }
 
 // spread returns how a report reaches the instances of the own domain. In a large
-// domain it is sent to some, which pass it on: no link carries it for all. Others
-// do so each time, so that one that is lost costs others a single report.
+// domain it is sent to some, which pass it on: no link carries it for all. Live ones
+// do so, and others each time, so that one that is lost costs others a single report.
 func (s *State) spread(now time.Time, m *pb.Report) []Delivery {
-	targets := s.roster.Targets(now)
+	targets, silent := s.roster.Targets(now), []crroster.Instance(nil)
 	size := 1
 	if len(targets) > directForwards {
 		size = forwardGroup
-		// One that is dead would pass nothing on.
+		for _, i := range targets {
+			if !s.roster.Lives(now, i.Name) {
+				silent = append(silent, i)
+			}
+		}
 		targets = slices.DeleteFunc(targets, func(i crroster.Instance) bool { return !s.roster.Lives(now, i.Name) })
 		s.reports.forwards++
 		first := int(s.reports.forwards % uint64(max(len(targets), 1)))
@@ -267,6 +271,13 @@
 		}
 		list = append(list, d)
 	}
+	// This instance may only not hear the silent ones.
+	for n, i := range silent {
+		if len(list) > 0 {
+			r := list[n%len(list)].Report
+			r.PassTo = append(r.PassTo, i.Peer.String())
+		}
+	}
 	return list
 }
 
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"crocusrack/core/crevidence"
@@ -264,7 +265,7 @@
 		From: from, New: !known, Behind: s.behind(m),
 		Introduce: !known && s.roster.Introduces(now, from.Name, m.GetSeeking()),
 	}
-	if m.GetToRelay() {
+	if m.GetToRelay() && m.Digest == nil {
 		s.roster.Follow(now, from.Name)
 	}
 	if m.Digest == nil {
@@ -275,9 +276,20 @@
 	if s.roster.Relays(now) && (m.GetDigest().GetFull() || len(m.GetDigest().GetContexts()) > 0) {
 		h.Forward = s.forward(now, m)
 	}
+	if relay, other := s.roster.RelayOf(now); other && !m.GetToRelay() {
+		h.Forward = append(h.Forward, toRelay(relay, m))
+	}
 	return h, nil
 }
 
+// toRelay passes the digest of another domain's relay, which doesn't know the one of
+// this domain, on to that one. It answers by its own digests.
+func toRelay(relay crroster.Instance, m *pb.Report) Delivery {
+	passed := proto.CloneOf(m)
+	passed.ToRelay = true
+	return Delivery{relay.Peer, passed}
+}
+
 // receiveForwarded takes in a bulletin of the own domain's relay, or passes the
 // digest of another domain on.
 func (s *State) receiveForwarded(now time.Time, from crroster.Instance, m *pb.Report) (Heard, error) {
--- a/core/crroster/relay.go
+++ b/core/crroster/relay.go
@@ -101,7 +101,8 @@
 }
 
 // Digests returns the instances to send a digest to: the relay of each other
-// domain, or two of its instances while none of them is known to live.
+// domain, or two of its instances, others at each tick, while none of them is known
+// to live.
 func (r *Roster) Digests(now time.Time) []Instance {
 	domains := make(map[string][]Instance)
 	for _, e := range r.peers {
@@ -111,17 +112,33 @@
 	}
 	var list []Instance
 	for domain, known := range domains {
-		count, candidates := 1, r.Domain(now, domain)
+		candidates := r.Domain(now, domain)
 		if len(candidates) == 0 {
-			count, candidates = 2, known
+			list = append(list, r.someOf(known)...)
+			continue
 		}
-		slices.SortFunc(candidates, func(a, b Instance) int { return cmp.Compare(relayScore(a), relayScore(b)) })
-		list = append(list, candidates[:min(count, len(candidates))]...)
+		list = append(list, slices.MinFunc(candidates, func(a, b Instance) int { return cmp.Compare(relayScore(a), relayScore(b)) }))
 	}
 	slices.SortFunc(list, byName)
 	return list
 }
 
+// someOf returns two of some instances, others at each tick.
+func (r *Roster) someOf(list []Instance) []Instance {
+	slices.SortFunc(list, byName)
+	if len(list) <= 2 {
+		return list
+	}
+	first := int(2*r.tick) % len(list)
+	return []Instance{list[first], list[(first+1)%len(list)]}
+}
+
+// RelayOf returns the relay of the own domain; false when that is this instance.
+func (r *Roster) RelayOf(now time.Time) (Instance, bool) {
+	relay := r.relay(now)
+	return r.Instance(relay), relay != r.Self.Name
+}
+
 // Targets returns the instances to send reports to, by name, and drops those
 // that have been silent for long. In a large fleet they are those of the own
 // failure domain, in a large domain its relay.
--- a/core/crroster/roster.go
+++ b/core/crroster/roster.go
@@ -81,6 +81,9 @@
 	added time.Time
 	// relayed is true when the relay of its domain reported it last.
 	relayed bool
+	// direct is when it last reported by itself, and asked since when this instance
+	// takes it for the relay without having heard it by itself.
+	direct, asked time.Time
 	// followed is when it last took this instance for the relay of its domain.
 	followed time.Time
 	// watch ranks it among the watchers, relay among the relays of its domain.
@@ -153,6 +156,7 @@
 	r.changed(now, e, i, s)
 	e.name(i)
 	e.Status, e.heard, e.relayed = s, now, false
+	e.direct, e.asked = now, time.Time{}
 	return true
 }
 
--- a/core/crroster/view.go
+++ b/core/crroster/view.go
@@ -25,6 +25,7 @@
 	}
 	v := &view{at: now, status: r.Status, size: 1, domain: 1, relay: r.Self.Name}
 	first := relayScore(r.Self)
+	var relay *entry
 	for _, e := range r.peers {
 		own := e.FailureDomain == r.Self.FailureDomain
 		if own {
@@ -34,8 +35,14 @@
 			continue
 		}
 		v.size++
-		if own && e.relay < first {
-			v.relay, first = e.Name, e.relay
+		if own && e.relay < first && e.answers(now) {
+			relay, first = e, e.relay
+		}
+	}
+	if relay != nil {
+		v.relay = relay.Name
+		if relay.asked.IsZero() {
+			relay.asked = now
 		}
 	}
 	v.watchers = r.findWatchers(now)
@@ -52,3 +59,24 @@
 		r.current = nil
 	}
 }
+
+const (
+	// unansweredAfter is when an instance that is taken for the relay, and that this
+	// one doesn't hear by itself, isn't any more, though others hear it.
+	unansweredAfter = SilentAfter
+	// askAgainAfter is when it is tried again.
+	askAgainAfter = 5 * time.Second
+)
+
+// answers reports whether an instance may be the relay: this one hears it by itself,
+// or hasn't tried for long.
+func (e *entry) answers(now time.Time) bool {
+	if e.asked.IsZero() || now.Sub(e.direct) < SilentAfter {
+		return true
+	}
+	asked := now.Sub(e.asked)
+	if asked > askAgainAfter {
+		e.asked = time.Time{}
+	}
+	return asked <= unansweredAfter
+}
