Let silence end nothing that may run once

After half a second without an event its endpoint was probed by a new connection; the dial timed out after 0.35 s, by lost packets or a slow instance, and the stream was given up. A stream that may be resumed was given up as well when the fleet's budget had no repeat left for it.

Change: only what another endpoint can go on with is probed and given up, and the repeat is taken from the budget before. Dead hosts are still found by keep-alive.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -143,6 +143,8 @@
 	aged     bool
 	// sent is how many endpoints may have got the request.
 	sent int
+	// reserved is true when a repeat was taken from the budget ahead.
+	reserved bool
 	// held is the memory that the request has taken beside its first step.
 	held int64
 
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -61,8 +61,8 @@
 	closing   bool
 	client    *http.Client
 	elapsed   time.Duration
-	// dialing is called before each connection to an endpoint is opened.
-	dialing func()
+	// dialing is called before each connection to an endpoint is opened, and may fail.
+	dialing func() error
 
 	servers []*http.Server
 	// stopped gets the times at which endpoints noticed that a caller left.
@@ -110,7 +110,9 @@
 		dial := r.net.Dial("entry")
 		hop := &crhop.Client{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if r.dialing != nil {
-				r.dialing()
+				if err := r.dialing(); err != nil {
+					return nil, err
+				}
 			}
 			return dial(ctx, network, address)
 		}}
--- a/io/crforward/heed_test.go
+++ b/io/crforward/heed_test.go
@@ -1,6 +1,7 @@
 package crforward_test
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -9,6 +10,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"crocusrack/core/crgrant"
 )
 
 // TestLeavingEndpoint: an endpoint says in an answer that it leaves. It gets no
@@ -207,3 +210,34 @@
 		}, c.endpoint, c.endpoint)
 	}
 }
+
+// TestSilenceEndsNothing: an endpoint is silent for a while inside a stream, and new
+// connections to it fail. A stream that may run once goes on there, and so does one for
+// which no repeat is left.
+func TestSilenceEndsNothing(t *testing.T) {
+	for _, c := range []struct {
+		path  string
+		spent bool
+	}{{"/reply/", false}, {"/draft/", true}} {
+		var rigged *rig
+		pausing := func(w http.ResponseWriter, _ *http.Request) {
+			for i := range 4 {
+				_, _ = io.WriteString(w, text(i+1, i+1))
+				_ = http.NewResponseController(w).Flush()
+				rigged.dialing = func() error { return errors.New("the packet was lost") }
+				time.Sleep(1500 * time.Millisecond)
+			}
+		}
+		play(t, func(r *rig) {
+			rigged = r
+			r.forwarder.MaxKeyAge = time.Hour
+			for c.spent && r.state.Retry(time.Now(), "app") {
+			}
+			r.state.Retries = crgrant.RetryLimit{Window: 10 * time.Second}
+			got, _ := r.send(r.t.Context(), c.path, "")
+			if diff := cmp.Diff(answer{200, text(1, 4), false}, got); diff != "" || r.arrived() != 1 {
+				t.Errorf("%s: arrivals %q (-want +got):\n%s", c.path, r.arrivals, diff)
+			}
+		}, pausing, pausing)
+	}
+}
--- a/io/crforward/key_test.go
+++ b/io/crforward/key_test.go
@@ -54,9 +54,10 @@
 		{60 * time.Second, 503, 0},
 	} {
 		play(t, func(r *rig) {
-			r.dialing = func() {
+			r.dialing = func() error {
 				r.elapsed += c.suspended
 				r.dialing = nil
+				return nil
 			}
 			got, _ := r.send(r.t.Context(), "/book/", "")
 			if got.Status != c.want || r.arrived() != c.arrivals {
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -119,8 +119,19 @@
 	}
 }
 
+// reserveRepeat reports whether a request that is given up may be sent once more, and
+// keeps the repeat for it.
+func (x *exchange) reserveRepeat() bool {
+	x.reserved = x.reserved || x.mayRepeat()
+	return x.reserved
+}
+
 // mayRepeat reports whether a request that was sent may be sent once more.
 func (x *exchange) mayRepeat() bool {
+	if x.reserved {
+		x.reserved = false
+		return true
+	}
 	return x.sent < x.route.MaxAttempts && time.Until(x.deadline) > 0 && x.State.Retry(time.Now(), x.service.Name)
 }
 
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -63,16 +63,20 @@
 
 // look is called after each gap of silence. It returns the wait until the next
 // look, or why the stream is given up: its endpoint takes no connections, or it
-// had no event for too long where another endpoint can go on.
+// had no event for too long. It is given up only when another endpoint can go on.
+// Silence is no reason to end what may run once.
 func (w *watcher) look(ctx context.Context) (time.Duration, error) {
+	if !w.route.Repeatable() {
+		return stallGap, nil
+	}
 	w.silence += stallGap
 	if !w.probed {
 		w.probed = true
-		if err := w.Hop.Probe(ctx, w.endpoint); err != nil && ctx.Err() == nil {
+		if err := w.Hop.Probe(ctx, w.endpoint); err != nil && ctx.Err() == nil && w.reserveRepeat() {
 			return 0, fmt.Errorf("%w, and its endpoint takes no connections: %w", errStalled, err)
 		}
 	}
-	if w.silence >= max(minStall, stallGaps*w.route.Gap) && w.route.Resumable {
+	if w.silence >= max(minStall, stallGaps*w.route.Gap) && w.route.Resumable && w.reserveRepeat() {
 		return 0, errStalled
 	}
 	return stallGap, nil
