Take no repeat that a route doesn't allow when a silent request is given up

Cause, found at the last reading: a request of a route with one attempt was given up for its endpoint's silence before its answer began, and sent once more by the repeat that had been reserved; and the watcher read the count of attempts beside the sender that writes it (seen by reading; the race detector's test of it didn't meet it before).

Change: the watcher is told the attempt that it watches, and asks for a repeat only when one more is allowed. Figures: TestSilenceEndsNothing fails before for the route with one attempt.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -144,7 +145,7 @@
 	// sent is how many endpoints may have got the request.
 	sent int
 	// reserved is true when a repeat was taken from the budget ahead.
-	reserved bool
+	reserved atomic.Bool
 	// held is the memory that the request has taken beside its first step.
 	held int64
 
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -145,6 +145,10 @@
 		Routes: []*pb.Route{
 			route("read", pb.Kind_KIND_IDEMPOTENT, false), route("book", pb.Kind_KIND_ONCE, false),
 			route("draft", pb.Kind_KIND_STREAM, true), route("reply", pb.Kind_KIND_STREAM, false),
+			{
+				Name: "single", Host: "desk.example", Prefix: "/single/", Kind: pb.Kind_KIND_STREAM, Resumable: true, MaxAttempts: 1,
+				Timeout: durationpb.New(time.Minute), Shares: []*pb.Share{{Service: "app", Weight: 1}},
+			},
 			{
 				Name: "slow", Host: "desk.example", Prefix: "/slow/", Kind: pb.Kind_KIND_STREAM, Resumable: true, MaxAttempts: 2,
 				Timeout: durationpb.New(time.Minute), Gap: durationpb.New(1500 * time.Millisecond),
--- a/io/crforward/heed_test.go
+++ b/io/crforward/heed_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -211,25 +212,29 @@
 	}
 }
 
-// TestSilenceEndsNothing: an endpoint is silent for a while inside a stream, and new
-// connections to it fail. A stream that may run once goes on there, and so does one for
-// which no repeat is left.
+// TestSilenceEndsNothing: an endpoint is silent for a while before and inside a stream,
+// and new connections to it fail. A stream that may run once goes on there, and so does
+// one for which no repeat is left or whose route allows none.
 func TestSilenceEndsNothing(t *testing.T) {
 	for _, c := range []struct {
 		path  string
 		spent bool
-	}{{"/reply/", false}, {"/draft/", true}} {
-		var rigged *rig
+	}{{"/reply/", false}, {"/draft/", true}, {"/single/", false}} {
 		pausing := func(w http.ResponseWriter, _ *http.Request) {
 			for i := range 4 {
+				time.Sleep(1500 * time.Millisecond)
 				_, _ = io.WriteString(w, text(i+1, i+1))
 				_ = http.NewResponseController(w).Flush()
-				rigged.dialing = func() error { return errors.New("the packet was lost") }
-				time.Sleep(1500 * time.Millisecond)
 			}
 		}
 		play(t, func(r *rig) {
-			rigged = r
+			var dials atomic.Int64
+			r.dialing = func() error {
+				if dials.Add(1) > 1 {
+					return errors.New("the packet was lost")
+				}
+				return nil
+			}
 			r.forwarder.MaxKeyAge = time.Hour
 			for c.spent && r.state.Retry(time.Now(), "app") {
 			}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -119,20 +119,23 @@
 	}
 }
 
-// reserveRepeat reports whether a request that is given up may be sent once more, and
-// keeps the repeat for it.
-func (x *exchange) reserveRepeat() bool {
-	x.reserved = x.reserved || x.mayRepeat()
-	return x.reserved
+// reserveRepeat reports whether a request of so many attempts that is given up may be
+// sent once more, and keeps the repeat for it. It is safe for concurrent use.
+func (x *exchange) reserveRepeat(attempts int) bool {
+	if !x.reserved.Load() && x.mayRepeatAfter(attempts) && x.State.Retry(time.Now(), x.service.Name) {
+		x.reserved.Store(true)
+	}
+	return x.reserved.Load()
 }
 
 // mayRepeat reports whether a request that was sent may be sent once more.
 func (x *exchange) mayRepeat() bool {
-	if x.reserved {
-		x.reserved = false
-		return true
-	}
-	return x.sent < x.route.MaxAttempts && time.Until(x.deadline) > 0 && x.State.Retry(time.Now(), x.service.Name)
+	return x.mayRepeatAfter(x.sent) && (x.reserved.CompareAndSwap(true, false) || x.State.Retry(time.Now(), x.service.Name))
+}
+
+// mayRepeatAfter reports whether the route and the deadline allow another attempt.
+func (x *exchange) mayRepeatAfter(attempts int) bool {
+	return attempts < x.route.MaxAttempts && time.Until(x.deadline) > 0
 }
 
 // giveUp answers a request that was sent and has no success.
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -16,7 +16,7 @@
 // sendWatched sends a request and gives up the wait for its answer as for the
 // next event of a stream.
 func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string) (*crhop.Answer, error) {
-	watch := x.watcher(g)
+	watch := x.watcher(g, x.sent+1)
 	ctx, cancel := context.WithCancelCause(ctx)
 	var answered atomic.Bool
 	done := make(chan struct{})
@@ -46,14 +46,16 @@
 	return answer, err
 }
 
-func (x *exchange) watcher(g *crgrant.Grant) *watcher {
-	return &watcher{exchange: x, endpoint: crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}}
+func (x *exchange) watcher(g *crgrant.Grant, attempts int) *watcher {
+	return &watcher{exchange: x, endpoint: crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, attempts: attempts}
 }
 
 // watcher looks at the endpoint of a silent request.
 type watcher struct {
 	*exchange
 	endpoint crhop.Endpoint
+	// attempts counts the request's attempts, with the one that is watched.
+	attempts int
 	silence  time.Duration
 	probed   bool
 }
@@ -72,11 +74,11 @@
 	w.silence += stallGap
 	if !w.probed {
 		w.probed = true
-		if err := w.Hop.Probe(ctx, w.endpoint); err != nil && ctx.Err() == nil && w.reserveRepeat() {
+		if err := w.Hop.Probe(ctx, w.endpoint); err != nil && ctx.Err() == nil && w.reserveRepeat(w.attempts) {
 			return 0, fmt.Errorf("%w, and its endpoint takes no connections: %w", errStalled, err)
 		}
 	}
-	if w.silence >= max(minStall, stallGaps*w.route.Gap) && w.route.Resumable && w.reserveRepeat() {
+	if w.silence >= max(minStall, stallGaps*w.route.Gap) && w.route.Resumable && w.reserveRepeat(w.attempts) {
 		return 0, errStalled
 	}
 	return stallGap, nil
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -133,7 +133,7 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go read(answer.Body, pieces, ended)
-	watch := s.watcher(g)
+	watch := s.watcher(g, s.sent)
 	silence := time.NewTimer(firstGap)
 	defer silence.Stop()
 	due := time.NewTimer(0)
