Write events of streams by the operators' time for them

Events shared a write within 45 ms, whatever time the operators allow for an event (120 ms here, 200 ms on larger deployments). Change: setting event-delay; events wait for those after them for 0.7 of it, and for a quarter of the pause that the route allows at most. core/crswitch names mechanisms that operators can switch off by disabled-mechanisms; this is the first. TestEventsShareWrites counts packets and checks that no event is late; it doesn't compile on the code before, whose 45 ms give 27 writes where 18 are wanted. Loss on the way from the endpoints remains: their packets.

--- a/core/crsettings/check.go
+++ b/core/crsettings/check.go
@@ -92,7 +92,7 @@
 			c.problems.Addf(k.Path, "out of range %s to %s: %s", k.Min, k.Max, d)
 		}
 	case []string:
-		c.addresses(k, v)
+		c.list(k, v)
 	}
 }
 
@@ -138,10 +138,15 @@
 	}
 }
 
-func (c *checker) addresses(k Key, values []string) {
+// list checks each value of a list.
+func (c *checker) list(k Key, values []string) {
 	for i, v := range values {
 		path := k.Path + "[" + strconv.Itoa(i) + "]"
-		c.address(path, v)
+		if k.Type == TypeAddresses {
+			c.address(path, v)
+		} else if !slices.Contains(k.Values, v) {
+			c.problems.Addf(path, "not one of %s: %q", strings.Join(k.Values, ", "), v)
+		}
 		if slices.Contains(values[:i], v) {
 			c.problems.Addf(path, "listed twice: %q", v)
 		}
--- a/core/crsettings/keys.go
+++ b/core/crsettings/keys.go
@@ -24,6 +24,7 @@
 	TypeDuration  Type = "duration"
 	TypeAddress   Type = "IP address and port"
 	TypeAddresses Type = "list of IP addresses and ports"
+	TypeChoices   Type = "list of names"
 	TypeURL       Type = "URL"
 )
 
--- a/core/crsettings/router.go
+++ b/core/crsettings/router.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"crocusrack/core/crswitch"
 	"crocusrack/core/crtoml"
 	pb "crocusrack/schema/crsettings"
 )
@@ -37,6 +38,10 @@
 	AnswerHeadBytes   int64
 	AnswerEventBytes  int
 	AnswerMemoryBytes int64
+	// EventDelay is the time within which an event of a stream is to reach its caller.
+	EventDelay time.Duration
+	// Disabled are the mechanisms that are switched off.
+	Disabled crswitch.Set
 	// CPUShare is the processor time that this instance has, in cores.
 	CPUShare float64
 }
@@ -57,6 +62,10 @@
 		Doc: "Processor time that this instance has. Those with the most relay for the others of a large failure domain."},
 	{Path: "directory", Type: TypeAddress, Required: true,
 		Doc: "Address that answers callers who ask where to connect."},
+	{Path: "disabled-mechanisms", Type: TypeChoices, Values: mechanisms(),
+		Doc: "Mechanisms that are switched off, for the day when one misbehaves and for measurements."},
+	{Path: "event-delay", Type: TypeDuration, Default: `"100ms"`, Min: "10ms", Max: "10s",
+		Doc: "Time within which an event of a stream is to reach its caller. Events that follow each other within some part of it share a packet: a lost one stalls the stream."},
 	{Path: "failure-domain", Type: TypeName, Required: true,
 		Doc: "Failure domain that this instance is in."},
 	{Path: "front", Type: TypeAddress, Required: true,
@@ -87,6 +96,15 @@
 		Doc: "Address of the platform's store."},
 }
 
+// mechanisms returns the names of all mechanisms that can be switched off.
+func mechanisms() []string {
+	var names []string
+	for _, m := range crswitch.Mechanisms() {
+		names = append(names, string(m.Name))
+	}
+	return names
+}
+
 // ParseRouter decodes and checks the settings file of a router. Keys that the
 // file lacks get their default. An error is of type crtoml.Problems and holds
 // all problems found.
@@ -125,6 +143,8 @@
 		AnswerEventBytes:  int(m.GetAnswerEventBytes()),
 		AnswerMemoryBytes: int64(m.GetAnswerMemoryBytes()),
 		CPUShare:          m.GetCpuShare(),
+		EventDelay:        m.GetEventDelay().AsDuration(),
+		Disabled:          crswitch.NewSet(m.GetDisabledMechanisms()),
 	}
 	for _, a := range m.GetSeeds() {
 		s.Seeds = append(s.Seeds, address(a))
--- a/core/crsettings/router_test.go
+++ b/core/crsettings/router_test.go
@@ -35,7 +35,7 @@
 		Peer: at(20504), Metrics: at(20505), Store: at(20500), Seeds: []netip.AddrPort{at(20504)},
 		KeyRevocation: 5 * time.Second, AddressLifetime: time.Second, StopTimeout: 8 * time.Second,
 		RetryShare: 0.2, RetrySlack: 10, RetryWindow: 10 * time.Second, LogLevel: "info",
-		AnswerHeadBytes: 32 << 10, AnswerEventBytes: 64 << 10, AnswerMemoryBytes: 24 << 20, CPUShare: 1,
+		AnswerHeadBytes: 32 << 10, AnswerEventBytes: 64 << 10, AnswerMemoryBytes: 24 << 20, CPUShare: 1, EventDelay: 100 * time.Millisecond,
 	}
 	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
@@ -48,6 +48,8 @@
 		{`instance = "noord-a-1"`, ``, `instance: missing`},
 		{`instance = "noord-a-1"`, `instance = "Noord A"`, `instance: not a name`},
 		{`failure-domain`, "retry-share = 1.5\nfailure-domain", `retry-share: out of range 0 to 1: 1.5`},
+		{`failure-domain`, "disabled-mechanisms = [\"event-coalescing\", \"affinty\"]\nfailure-domain", `disabled-mechanisms[1]: not one of event-coalescing`},
+		{`failure-domain`, "event-delay = \"1ms\"\nfailure-domain", `event-delay: out of range`},
 		{`failure-domain`, "key-revocation = \"1ms\"\nfailure-domain", `key-revocation: out of range`},
 		{`failure-domain`, "failure-domian = 1\nfailure-domain", `failure-domian`},
 	} {
--- /dev/null
+++ b/core/crswitch/switch.go
@@ -0,0 +1,45 @@
+// Package crswitch names the mechanisms that operators can switch off, one by one:
+// on a day when one of them misbehaves, or to measure what it is worth. A fleet
+// serves without any of them, only less well; what keeps a promise to callers has
+// no switch.
+package crswitch
+
+// Mechanism is the name of a mechanism, in kebab case.
+type Mechanism string
+
+// The mechanisms.
+const (
+	EventCoalescing Mechanism = "event-coalescing"
+)
+
+// Info describes a mechanism.
+type Info struct {
+	Name Mechanism
+	// Doc says what it does and what is done without it.
+	Doc string
+}
+
+// Mechanisms returns every mechanism, sorted by name.
+func Mechanisms() []Info { return table }
+
+var table = []Info{
+	{EventCoalescing, "Events of a stream that follow each other closely share a write. Without it each is written at once."},
+}
+
+// Set is a set of mechanisms. Its zero value is empty.
+type Set map[Mechanism]bool
+
+// NewSet returns the set of the named mechanisms; nil for none.
+func NewSet(names []string) Set {
+	var s Set
+	for _, n := range names {
+		if s == nil {
+			s = make(Set)
+		}
+		s[Mechanism(n)] = true
+	}
+	return s
+}
+
+// Has reports whether a mechanism is in the set.
+func (s Set) Has(m Mechanism) bool { return s[m] }
--- /dev/null
+++ b/io/crforward/coalesce_test.go
@@ -0,0 +1,63 @@
+package crforward_test
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"crocusrack/core/crswitch"
+)
+
+// TestEventsShareWrites plays a stream with an event every 20 ms. The caller gets few
+// packets, each of which may be lost, and no event later than it is due.
+func TestEventsShareWrites(t *testing.T) {
+	const count, spacing, way = 60, 20 * time.Millisecond, 4 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		path     string
+		delay    time.Duration
+		disabled crswitch.Set
+		most     int
+	}{
+		{"usual", "/draft/", 120 * time.Millisecond, nil, 18},
+		{"longer", "/draft/", 200 * time.Millisecond, nil, 12},
+		{"short pauses", "/short/", 200 * time.Millisecond, nil, 32},
+		{"switched off", "/draft/", 120 * time.Millisecond, crswitch.NewSet([]string{"event-coalescing"}), count},
+	} {
+		play(t, func(r *rig) {
+			r.forwarder.EventDelay, r.forwarder.Disabled = c.delay, c.disabled
+			q, err := http.NewRequest(http.MethodPost, "http://"+front.String()+c.path, strings.NewReader(""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			q.Host, q.Header = "desk.example", http.Header{"Id": {"q"}, "Key": {"k"}}
+			begin := time.Now()
+			a, err := r.client.Do(q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Body.Close()
+			made := begin.Add(3 * way)
+			reads, events := 0, 0
+			buffer := make([]byte, 4<<10)
+			for err == nil {
+				var n int
+				n, err = a.Body.Read(buffer)
+				for range bytes.Count(buffer[:n], []byte("\n\n")) {
+					if late := time.Since(made.Add(time.Duration(events) * spacing)); late > c.delay {
+						t.Errorf("%s: event %d came after %s", c.name, events, late)
+					}
+					events++
+				}
+				if n > 0 {
+					reads++
+				}
+			}
+			if events != count || reads > c.most {
+				t.Errorf("%s: %d of %d events in %d reads, want at most %d", c.name, events, count, reads, c.most)
+			}
+		}, events(count, true))
+	}
+}
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -23,6 +23,7 @@
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crroute"
+	"crocusrack/core/crswitch"
 	"crocusrack/io/crhop"
 )
 
@@ -123,6 +124,11 @@
 	Memory Memory
 	// EventBytes is the largest event of a stream; crstream.DefaultLimit when zero.
 	EventBytes int
+	// EventDelay is the time within which an event of a stream is to reach its caller;
+	// no two events share a write when it is zero.
+	EventDelay time.Duration
+	// Disabled are the mechanisms that are switched off.
+	Disabled crswitch.Set
 }
 
 // exchange is one request on its way.
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -149,6 +149,11 @@
 				Name: "single", Host: "desk.example", Prefix: "/single/", Kind: pb.Kind_KIND_STREAM, Resumable: true, MaxAttempts: 1,
 				Timeout: durationpb.New(time.Minute), Shares: []*pb.Share{{Service: "app", Weight: 1}},
 			},
+			{
+				Name: "short", Host: "desk.example", Prefix: "/short/", Kind: pb.Kind_KIND_STREAM, MaxAttempts: 1,
+				Timeout: durationpb.New(time.Minute), Gap: durationpb.New(200 * time.Millisecond),
+				Shares: []*pb.Share{{Service: "app", Weight: 1}},
+			},
 			{
 				Name: "slow", Host: "desk.example", Prefix: "/slow/", Kind: pb.Kind_KIND_STREAM, Resumable: true, MaxAttempts: 2,
 				Timeout: durationpb.New(time.Minute), Gap: durationpb.New(1500 * time.Millisecond),
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -12,6 +12,7 @@
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
 	"crocusrack/core/crstream"
+	"crocusrack/core/crswitch"
 	"crocusrack/io/crhop"
 )
 
@@ -24,10 +25,12 @@
 	// firstGap is the same before the first event, when the endpoint reads the
 	// prompt.
 	firstGap = 900 * time.Millisecond
-	// coalesce is the least pause between two writes to a caller. A packet that
-	// is lost delays a stream by hundreds of milliseconds; events that follow
-	// each other closely share one.
-	coalesce = 45 * time.Millisecond
+	// coalesceShare is the part of the time for an event for which it may wait for
+	// those after it; the rest is for the ways and for the processes.
+	coalesceShare = 0.7
+	// coalesceGap is the same as a part of the pause between events that a route
+	// allows.
+	coalesceGap = 0.25
 	// minStall is the least time without a whole event after which a stream is
 	// resumed elsewhere though its endpoint takes connections; stallGaps is the same
 	// in pauses that the route allows between events.
@@ -73,6 +76,20 @@
 	}
 }
 
+// coalesce is the least pause between two writes to a caller. A packet that is
+// lost delays a stream by hundreds of milliseconds; events that follow each other
+// closely share one.
+func (x *exchange) coalesce() time.Duration {
+	if x.Disabled.Has(crswitch.EventCoalescing) {
+		return 0
+	}
+	d := time.Duration(coalesceShare * float64(x.EventDelay))
+	if x.route.Gap > 0 {
+		d = min(d, time.Duration(coalesceGap*float64(x.route.Gap)))
+	}
+	return d
+}
+
 // resume sends the request of a broken stream to another endpoint.
 func (x *exchange) resume(ctx context.Context, s *streamer, tried *[]crledger.Key) (*crgrant.Grant, *crhop.Answer) {
 	if !x.route.Resumable {
@@ -136,7 +153,7 @@
 	watch := s.watcher(g, s.sent)
 	silence := time.NewTimer(firstGap)
 	defer silence.Stop()
-	due := time.NewTimer(0)
+	due, pause := time.NewTimer(0), s.coalesce()
 	defer due.Stop()
 	for {
 		select {
@@ -174,7 +191,7 @@
 			case p.err != nil:
 				return errors.Join(p.err, s.flush(answer))
 			}
-			if wait := time.Until(s.wrote.Add(coalesce)); wait > 0 {
+			if wait := time.Until(s.wrote.Add(pause)); wait > 0 {
 				due.Reset(wait)
 			} else if err := s.flush(answer); err != nil {
 				return err
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -166,6 +166,8 @@
 
 		Memory:     crforward.Memory{Limit: s.AnswerMemoryBytes},
 		EventBytes: s.AnswerEventBytes,
+		EventDelay: s.EventDelay,
+		Disabled:   s.Disabled,
 	}
 	packets, err := net.ListenPacket("udp4", s.Peer.String())
 	if err != nil {
