Place by forecasts that follow the times that were seen

Change: core/crpace draws a line through the last 48 times of a service: overhead and time a token, for reading and for moves within and between failure domains, by least relative errors, so that lost packets hardly count; it keeps how much slower each endpoint is. The placer compares the delay of the first token: what is missing, read or fetched, prompts before it beyond half of the route's target, and the way to another domain. It waits for a reading while that is sooner than its own. Switches: context-moves, domain-preference, learned-pace, reading-waits. Tests: TestMovedOrRead, TestSlowEndpointsGetLess, TestWaitsOnlyWhereItPays, TestForecastConverges need what is new here; TestReadBesideAFetch was seen to fail with the old counting put back. TestReads gives durations, as Reads does.

--- a/core/crgrant/context.go
+++ b/core/crgrant/context.go
@@ -13,7 +13,9 @@
 	until := time.Time{}
 	if c.Reading != nil {
 		until = now.Add(c.GetReading().AsDuration())
-		s.reads.Until(crledger.Key(c.GetEndpoint()), until.Add(-readOverhead))
+		if e := s.placer.Endpoint(crledger.Key(c.GetEndpoint())); e != nil {
+			s.reads.Until(e.Key, until.Add(-s.readSlack(now, e)))
+		}
 	}
 	link := crcontext.Link{Chain: c.GetChain(), Tokens: int(c.GetTokens())}
 	s.contexts.Note(now, link, true, crledger.Key(c.GetEndpoint()), until)
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -18,10 +18,12 @@
 	"crocusrack/core/crhash"
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
+	"crocusrack/core/crpace"
 	"crocusrack/core/crplace"
 	"crocusrack/core/crretry"
 	"crocusrack/core/crroster"
 	"crocusrack/core/crroute"
+	"crocusrack/core/crswitch"
 	pb "crocusrack/schema/crrouter"
 )
 
@@ -47,6 +49,8 @@
 	Retries RetryLimit
 	// Elapsed reads a clock that counts suspension.
 	Elapsed func() time.Duration
+	// Disabled are the mechanisms that are switched off.
+	Disabled crswitch.Set
 	// Urgent is called when other instances are to hear of something at once. It
 	// must not call the state; may be nil.
 	Urgent func()
@@ -63,6 +67,7 @@
 	contexts crcontext.Table
 	health   crhealth.Table
 	reads    crledger.Reads
+	pace     crpace.Table
 	placer   crplace.Placer
 	cold     crplace.ColdGate
 	budgets  map[string]*crretry.Budget
@@ -91,12 +96,15 @@
 		s.returns = make(map[string]*crretry.Returns)
 		s.outs = make(map[string]bool)
 		s.cold.Roster = &s.roster
+		s.pace.Fixed = s.Disabled.Has(crswitch.LearnedPace)
 		s.placer = crplace.Placer{
 			FailureDomain: s.Self.FailureDomain,
 			Work:          &s.work,
 			Contexts:      &s.contexts,
 			Health:        &s.health,
 			Reads:         &s.reads,
+			Pace:          &s.pace,
+			Disabled:      s.Disabled,
 			Cold: func(e *crplace.Endpoint, perSecond float64) bool {
 				return s.cold.Admit(s.now, e, perSecond)
 			},
@@ -131,6 +139,8 @@
 	Service crroute.Service
 	Links   []crcontext.Link
 	Tried   []crledger.Key
+	// Target is the time to the first token that the route aims at; zero for none.
+	Target time.Duration
 	// Hasty is true when the request doesn't wait for an endpoint that reads its
 	// prompt.
 	Hasty bool
@@ -160,6 +170,7 @@
 		ColdPerSecond: a.Service.ColdPerSecond,
 		Links:         a.Links,
 		Tried:         a.Tried,
+		Target:        a.Target,
 		Hasty:         a.Hasty,
 		Random:        rand.Uint64(),
 	})
@@ -176,25 +187,41 @@
 }
 
 const (
-	// readOverhead is what an endpoint takes beside the reading of a prompt.
-	readOverhead = 150 * time.Millisecond
-	// urgentTokens is the context, in tokens, of which other instances hear at
-	// once: more than an endpoint reads between two reports.
-	urgentTokens = 2048
+	// readMargin and overheadMargin are by how much a reading may take longer than
+	// forecast before others take it for done: a part of the reading, and a multiple
+	// of what the endpoint takes beside it.
+	readMargin     = 1.0
+	overheadMargin = 3
+	// urgentReading is the reading of which other instances hear at once: it is not
+	// over when they hear of it by the next report.
+	urgentReading = 45 * time.Millisecond
 )
 
-// note notes that an endpoint will hold a prompt once it has read what it lacks.
+// note notes that an endpoint will hold a prompt once it has read what it lacks. A
+// context that is only fetched counts as there.
 func (s *State) note(now time.Time, links []crcontext.Link, c crplace.Choice) {
-	until := time.Time{}
-	if missing := c.Wanted - c.Held; missing > 0 && c.Source == nil {
-		until = s.reads.Add(now, c.Endpoint.Key, missing).Add(readOverhead)
+	until, reading := time.Time{}, s.reading(now, c)
+	end := s.reads.Add(now, c.Endpoint.Key, reading)
+	if reading > 0 && (c.Source == nil || reading >= urgentReading) {
+		until = end.Add(time.Duration(readMargin * float64(reading))).Add(s.readSlack(now, c.Endpoint))
 	}
 	s.hold(now, links, c.Endpoint.Key, until)
-	if !until.IsZero() && c.Wanted-c.Held >= urgentTokens {
+	if reading >= urgentReading {
 		s.urgent()
 	}
 }
 
+// reading returns how long an endpoint reads what it lacks of a prompt and doesn't
+// fetch.
+func (s *State) reading(now time.Time, c crplace.Choice) time.Duration {
+	return s.pace.Read(now, c.Endpoint.Service, c.Endpoint.Key, c.Job.Read)
+}
+
+// readSlack returns what a reading may take longer than forecast whatever its length.
+func (s *State) readSlack(now time.Time, e *crplace.Endpoint) time.Duration {
+	return overheadMargin * s.pace.Overhead(now, e.Service, e.Key)
+}
+
 // hold notes a prompt at an endpoint. Other instances are told of the part that
 // further requests share.
 func (s *State) hold(now time.Time, links []crcontext.Link, k crledger.Key, until time.Time) {
@@ -231,8 +258,9 @@
 		return
 	}
 	g.read = true
+	s.pace.Observe(now, g.Endpoint.Service, g.Endpoint.Key, g.Job, now.Sub(g.started))
 	s.hold(now, g.links, g.Endpoint.Key, time.Time{})
-	if g.Wanted-g.Held >= urgentTokens && g.Source == nil {
+	if s.reading(now, g.Choice) >= urgentReading {
 		s.urgent()
 	}
 }
@@ -263,6 +291,9 @@
 	s.work.End(g.Endpoint.Key)
 	if o == crhealth.Good {
 		s.returnsOf(g.Endpoint.Service).Ended(now.Sub(g.started))
+		if len(g.links) == 0 {
+			s.pace.Observe(now, g.Endpoint.Service, g.Endpoint.Key, crpace.Job{}, now.Sub(g.started))
+		}
 	}
 	if o == crhealth.Good && !g.read {
 		g.read = true
@@ -358,6 +389,7 @@
 	there := func(k crledger.Key) bool { return s.placer.Endpoint(k) != nil }
 	s.cold.Forget(there)
 	s.reads.Forget(there)
+	s.pace.Forget(there)
 	return true
 }
 
--- /dev/null
+++ b/core/crgrant/reading_test.go
@@ -0,0 +1,55 @@
+package crgrant_test
+
+import (
+	"testing"
+	"time"
+
+	"crocusrack/core/crcontext"
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroute"
+)
+
+// TestReadBesideAFetch: a request reads a long prompt of which it fetches a short
+// part. The prompt counts as being read, so that a second request for it waits, here
+// and at another instance, and no new prompt goes behind it.
+func TestReadBesideAFetch(t *testing.T) {
+	a, b := newNode(1), newNode(2)
+	endpoints := []*crplace.Endpoint{endpoint(t, "e1"), endpoint(t, "e2")}
+	for _, n := range []*node{a, b} {
+		n.SetEndpoints(start, 1, endpoints)
+	}
+	send(t, b, a)
+	chain := func(subject, own string) []crcontext.Link {
+		return crcontext.Chain("m", []crcontext.Part{{ID: "system", Tokens: 2000}, {ID: subject, Tokens: 20_000}, {ID: own, Tokens: 100}})
+	}
+	ask := func(n *node, links []crcontext.Link) *crgrant.Grant {
+		return n.Grant(start, crgrant.Ask{Service: crroute.Service{Name: "llm", Engine: true}, Links: links})
+	}
+	// One endpoint holds the part that all share, and has too much work for more.
+	first := ask(a, chain("warm", "0"))
+	first.Read(start)
+	first.End(start, crhealth.Good)
+	var running []*crgrant.Grant
+	for range 6 {
+		if g := ask(a, chain("warm", "0")); g.Endpoint == first.Endpoint {
+			running = append(running, g)
+		}
+	}
+	g := ask(a, chain("price-list", "1"))
+	if g.Endpoint == first.Endpoint || g.Source != first.Endpoint {
+		t.Fatalf("%d run at %s: the prompt went to %v with a source %v, want the other one with a source", len(running), first.Endpoint.ID, g.Endpoint, g.Source)
+	}
+	if second := ask(a, chain("price-list", "2")); second.Reading <= 0 {
+		t.Errorf("a second request for the prompt went to %s", second.Endpoint.ID)
+	}
+	send(t, a, b)
+	if second := ask(b, chain("price-list", "3")); second.Reading <= 0 {
+		t.Errorf("a second request at another instance went to %s", second.Endpoint.ID)
+	}
+	g.Read(start.Add(400 * time.Millisecond))
+	if second := ask(a, chain("price-list", "4")); second.Endpoint != g.Endpoint || second.Held < 20_000 {
+		t.Errorf("once it was read the prompt went to %v, which holds %d tokens", second.Endpoint, second.Held)
+	}
+}
--- a/core/crledger/ledger_test.go
+++ b/core/crledger/ledger_test.go
@@ -69,9 +69,9 @@
 
 func TestReads(t *testing.T) {
 	var r crledger.Reads
-	r.Add(start, 1, 450)
-	if got := r.Add(start, 1, 450).Sub(start); got != 20*time.Millisecond {
-		t.Errorf("900 tokens are read after %s, want 20ms", got)
+	r.Add(start, 1, 10*time.Millisecond)
+	if got := r.Add(start, 1, 10*time.Millisecond).Sub(start); got != 20*time.Millisecond {
+		t.Errorf("two prompts of 10ms are read after %s, want 20ms", got)
 	}
 	if got := r.Backlog(start.Add(time.Second), 1); got != 0 {
 		t.Errorf("backlog of %s after a second", got)
--- a/core/crledger/reads.go
+++ b/core/crledger/reads.go
@@ -2,24 +2,20 @@
 
 import "time"
 
-// ReadRate is the rate at which an endpoint reads prompts, in tokens per
-// millisecond, a little below what the users state of their engines.
-const ReadRate = 45
-
 // Reads estimates until when each endpoint is busy with reading prompts. Its
 // zero value is empty; it is not safe for concurrent use.
 type Reads struct {
 	until map[Key]time.Time
 }
 
-// Add notes that an endpoint is to read so many tokens more, and returns when it
-// will have read them.
-func (r *Reads) Add(now time.Time, k Key, tokens int) time.Time {
+// Add notes that an endpoint is to read for so long in addition, and returns when it
+// will have done so.
+func (r *Reads) Add(now time.Time, k Key, d time.Duration) time.Time {
 	start := now
 	if u := r.until[k]; u.After(now) {
 		start = u
 	}
-	end := start.Add(time.Duration(tokens) * time.Millisecond / ReadRate)
+	end := start.Add(d)
 	r.Until(k, end)
 	return end
 }
--- /dev/null
+++ b/core/crpace/pace_test.go
@@ -0,0 +1,165 @@
+package crpace_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"crocusrack/core/crfuzz"
+	"crocusrack/core/crledger"
+	"crocusrack/core/crpace"
+)
+
+func TestMain(m *testing.M) { crfuzz.Main(m) }
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+// engine is what an endpoint really takes, in milliseconds.
+type engine struct {
+	base, perToken, movePerToken, slow float64
+	random                             *rand.Rand
+}
+
+// took returns how long a job takes there, with some noise and now and then a lost
+// packet.
+func (e *engine) took(j crpace.Job) time.Duration {
+	ms := e.slow * (e.base + e.perToken*float64(j.Read)) * (0.9 + 0.2*e.random.Float64())
+	if j.Fetched > 0 {
+		ms += 6 + e.movePerToken*float64(j.Fetched)
+	}
+	if e.random.IntN(30) == 0 {
+		ms += 200
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// within reports whether a forecast is off by at most a factor.
+func within(got, want time.Duration, factor float64) bool {
+	return math.Abs(math.Log(float64(got)/float64(want))) <= math.Log(factor)
+}
+
+// TestForecastConverges: the forecast for engines of any speed is right after some
+// tens of requests, and again after the speed has changed.
+func TestForecastConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := math.Exp(rapid.Float64Range(math.Log(5), math.Log(500)).Draw(t, "tokens-per-ms"))
+		e := &engine{
+			base: rapid.Float64Range(5, 90).Draw(t, "base-ms"), perToken: 1 / rate, slow: 1,
+			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		}
+		e.movePerToken = e.perToken * math.Exp(rapid.Float64Range(math.Log(0.05), math.Log(20)).Draw(t, "move"))
+		var table crpace.Table
+		now := start
+		learn := func() {
+			for range 80 {
+				now = now.Add(200 * time.Millisecond)
+				read := crpace.Job{Read: int(math.Exp(e.random.Float64() * math.Log(20_000)))}
+				table.Observe(now, "llm", 1, read, e.took(read))
+				move := crpace.Job{Read: 100, Fetched: 1 + e.random.IntN(20_000)}
+				table.Observe(now, "llm", 1, move, e.took(move))
+			}
+		}
+		check := func(when string) {
+			for _, j := range []crpace.Job{{Read: 10}, {Read: 20_000}, {Read: 100, Fetched: 15_000}} {
+				exact := engine{base: e.base, perToken: e.perToken, movePerToken: e.movePerToken, slow: e.slow, random: rand.New(rand.NewPCG(1, 2))}
+				want := exact.took(j)
+				if got := table.Forecast(now, "llm", 1, j); !within(got, want, 1.7) {
+					t.Errorf("%s: forecast %s for %+v, want %s", when, got, j, want)
+				}
+			}
+		}
+		learn()
+		check("learned")
+		e.perToken, e.movePerToken, e.base = e.perToken/3, e.movePerToken*3, e.base/2
+		learn()
+		learn()
+		check("after a change")
+	})
+}
+
+// TestSlowEndpoint: one of three endpoints that takes three times as long as the
+// others is told from them, and no longer once it is as they are.
+func TestSlowEndpoint(t *testing.T) {
+	var table crpace.Table
+	now, random := start, rand.New(rand.NewPCG(1, 2))
+	play := func(slow float64) {
+		for range 40 {
+			now = now.Add(300 * time.Millisecond)
+			for k := crledger.Key(1); k <= 3; k++ {
+				e := engine{base: 20, perToken: 0.02, slow: 1, random: random}
+				if k == 3 {
+					e.slow = slow
+				}
+				j := crpace.Job{Read: random.IntN(3000)}
+				table.Observe(now, "llm", k, j, e.took(j))
+			}
+		}
+	}
+	play(3)
+	if a, b := table.Read(now, "llm", 1, 3000), table.Read(now, "llm", 3, 3000); b < 2*a || table.Slowness(now, 3) == 1 {
+		t.Errorf("3000 tokens are read in %s, and in %s by the slow endpoint, want three times as much", a, b)
+	}
+	play(1)
+	if got := table.Slowness(now, 3); got != 1 {
+		t.Errorf("slowness %.2f once it is as fast as the others, want 1", got)
+	}
+	// What isn't seen again is forgotten.
+	play(3)
+	if got := table.Slowness(now.Add(10*time.Minute), 3); got != 1 {
+		t.Errorf("slowness %.2f ten minutes later, want 1", got)
+	}
+}
+
+// TestNonsense: a time that is far off hardly moves the forecast, and one behind a
+// long queue not at all.
+func TestNonsense(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		job  crpace.Job
+		took time.Duration
+	}{
+		{"nothing", crpace.Job{Read: 5000}, 0},
+		{"an hour", crpace.Job{Read: 5000}, time.Hour},
+		{"negative", crpace.Job{Read: 5000}, -time.Hour},
+		{"a move in no time", crpace.Job{Read: 5000, Fetched: 9000}, time.Nanosecond},
+		{"an hour behind a queue", crpace.Job{Read: 5000, Backlog: 50 * time.Minute}, time.Hour},
+		{"no prompt", crpace.Job{}, time.Hour},
+	} {
+		var table crpace.Table
+		e := engine{base: 20, perToken: 0.02, slow: 1, random: rand.New(rand.NewPCG(1, 2))}
+		for i := range 60 {
+			j := crpace.Job{Read: 80 * i}
+			table.Observe(start, "llm", 1, j, e.took(j))
+		}
+		before := table.Forecast(start, "llm", 1, crpace.Job{Read: 5000})
+		table.Observe(start, "llm", 1, c.job, c.took)
+		after := table.Forecast(start, "llm", 1, crpace.Job{Read: 5000})
+		if !within(after, before, 1.1) {
+			t.Errorf("%s: forecast %s after, %s before", c.name, after, before)
+		}
+	}
+}
+
+// TestMovesAreTriedAgain: after moves were slow they aren't made any more, so that
+// nothing shows when they are fast again; the forecast goes back by itself.
+func TestMovesAreTriedAgain(t *testing.T) {
+	var table crpace.Table
+	usual := table.Fetch(start, "llm", false, 10_000)
+	now := start
+	for range 20 {
+		now = now.Add(time.Second)
+		table.Observe(now, "llm", 1, crpace.Job{Read: 100, Fetched: 10_000}, 2*time.Second)
+	}
+	if got := table.Fetch(now, "llm", false, 10_000); got < time.Second {
+		t.Errorf("forecast %s after moves of 2 s", got)
+	}
+	if got := table.Fetch(now.Add(time.Minute), "llm", false, 10_000); got < time.Second {
+		t.Errorf("forecast %s a minute later, want it to hold", got)
+	}
+	if got := table.Fetch(now.Add(15*time.Minute), "llm", false, 10_000); got > 2*usual {
+		t.Errorf("forecast %s a quarter of an hour later, want about %s as at first", got, usual)
+	}
+}
--- /dev/null
+++ b/core/crplace/forecast_test.go
@@ -0,0 +1,143 @@
+package crplace_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"crocusrack/core/crcontext"
+	"crocusrack/core/crledger"
+	"crocusrack/core/crpace"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crswitch"
+)
+
+// learn shows the placer how long its endpoints take: 30 ms and so much for a token,
+// and so much for a fetched token.
+func (w *world) learn(perToken, perFetched time.Duration) {
+	for i := range 60 {
+		e := w.endpoints[i%len(w.endpoints)]
+		read := crpace.Job{Read: 150 * i}
+		w.Pace.Observe(start, "llm", e.Key, read, 30*time.Millisecond+time.Duration(read.Read)*perToken)
+		move := crpace.Job{Fetched: 150 * i, Far: i%2 == 0}
+		w.Pace.Observe(start, "llm", e.Key, move, 30*time.Millisecond+time.Duration(move.Fetched)*perFetched)
+	}
+}
+
+// TestMovedOrRead: context that the chosen endpoint lacks is fetched where that takes
+// less time than reading it, and read where it takes more.
+func TestMovedOrRead(t *testing.T) {
+	for _, c := range []struct {
+		name                 string
+		perToken, perFetched time.Duration
+		disabled             []string
+		moved                bool
+	}{
+		{"fast links", 60 * time.Microsecond, 2 * time.Microsecond, nil, true},
+		{"slow links", 20 * time.Microsecond, 100 * time.Microsecond, nil, false},
+		{"slow links and slower readers", 300 * time.Microsecond, 100 * time.Microsecond, nil, true},
+		{"switched off", 60 * time.Microsecond, 2 * time.Microsecond, []string{string(crswitch.ContextMoves)}, false},
+	} {
+		w := newWorld(9)
+		w.Disabled = crswitch.NewSet(c.disabled)
+		w.learn(c.perToken, c.perFetched)
+		links := prompt("price-list", 9000)
+		holder := w.endpoints[7]
+		w.hold(holder.Key, links)
+		for range 9 {
+			w.Work.Start(holder.Key)
+		}
+		got := w.Place(start, crplace.Ask{Service: "llm", Links: links})
+		if got.Endpoint == holder || (got.Source != nil) != c.moved {
+			t.Errorf("%s: chose %s with a source %v, want moved %t", c.name, got.Endpoint.ID, got.Source, c.moved)
+		}
+		if read := got.Job.Read; (read < 9000) != c.moved {
+			t.Errorf("%s: %d tokens are read", c.name, read)
+		}
+	}
+}
+
+func newSubject(i int) crplace.Ask {
+	return crplace.Ask{Service: "llm", Links: prompt(fmt.Sprint("subject-", i), 4000)}
+}
+
+// TestSlowEndpointsGetLess: a third of nine endpoints takes three times as long. They
+// get few of the new subjects while the others have room, and fewer requests of a
+// plain service.
+func TestSlowEndpointsGetLess(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// running is how many requests run at a time.
+		running int
+		most    int
+		ask     func(i int) crplace.Ask
+	}{
+		{"few new subjects", 18, 20, newSubject},
+		{"many new subjects", 90, 90, newSubject},
+		{"plain requests", 18, 70, func(i int) crplace.Ask { return crplace.Ask{Service: "llm", Random: uint64(i)} }},
+	} {
+		w := newWorld(9)
+		w.FailureDomain = ""
+		for i := range 270 {
+			e, took := w.endpoints[i%9], 30*time.Millisecond
+			if i%9 >= 6 {
+				took *= 3
+			}
+			w.Pace.Observe(start, "llm", e.Key, crpace.Job{}, took)
+		}
+		random := rand.New(rand.NewPCG(1, 2))
+		var running []crledger.Key
+		slow := 0
+		for i := range 300 {
+			a := c.ask(i)
+			a.Random = random.Uint64()
+			got := w.Place(start, a)
+			w.Work.Start(got.Endpoint.Key)
+			if running = append(running, got.Endpoint.Key); len(running) > c.running {
+				w.Work.End(running[0])
+				running = running[1:]
+			}
+			for _, e := range w.endpoints[6:] {
+				if got.Endpoint == e {
+					slow++
+				}
+			}
+		}
+		if slow > c.most {
+			t.Errorf("%s: the slow third of the endpoints got %d of 300, want at most %d", c.name, slow, c.most)
+		}
+	}
+}
+
+// TestWaitsOnlyWhereItPays: a request waits for a reading that ends sooner than its
+// own would, but not for one that stands behind a long queue.
+func TestWaitsOnlyWhereItPays(t *testing.T) {
+	links := prompt("price-list", 9000)
+	for _, c := range []struct {
+		name     string
+		until    time.Duration
+		disabled []string
+		waits    bool
+	}{
+		{"soon read", 200 * time.Millisecond, nil, true},
+		{"behind a queue", 3 * time.Second, nil, false},
+		{"switched off", 200 * time.Millisecond, []string{string(crswitch.ReadingWaits)}, false},
+	} {
+		w := newWorld(9)
+		w.Disabled = crswitch.NewSet(c.disabled)
+		for _, l := range links {
+			w.Contexts.Note(start, l, true, w.endpoints[2].Key, start.Add(c.until))
+		}
+		if got := w.Place(start, crplace.Ask{Service: "llm", Links: links}); (got.Reading > 0) != c.waits {
+			t.Errorf("%s: a wait of %s, want one %t", c.name, got.Reading, c.waits)
+		}
+	}
+	// Of a prompt that shares only little with the one that is read, it reads the rest
+	// in any case.
+	w := newWorld(9)
+	w.Contexts.Note(start, crcontext.Link{Chain: links[0].Chain, Tokens: 500}, true, w.endpoints[2].Key, start.Add(200*time.Millisecond))
+	if got := w.Place(start, crplace.Ask{Service: "llm", Links: links}); got.Endpoint == nil {
+		t.Errorf("waits %s for the reading of 500 tokens", got.Reading)
+	}
+}
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -14,6 +15,8 @@
 	"crocusrack/core/crhash"
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
+	"crocusrack/core/crpace"
+	"crocusrack/core/crswitch"
 )
 
 const (
@@ -26,18 +29,19 @@
 	// foreignDomain is the work that a plain service's endpoint in another
 	// failure domain must have less to be taken.
 	foreignDomain = 1.0
-	// localTokens is the context, in tokens, whose transfer between endpoints
-	// costs as much as a request that crosses failure domains.
-	localTokens = 768
-	// bearableBacklog is how long an endpoint may read other prompts first
-	// without another being better: some part of the time to the first token
-	// that the users aim at.
-	bearableBacklog = 300 * time.Millisecond
+	// crossing is the delay for which a request stays in its own failure domain:
+	// bytes between domains are dear.
+	crossing = 17 * time.Millisecond
+	// bearableShare is how long an endpoint may read other prompts first without
+	// another being better, as a part of the time that the route aims at;
+	// usualBearable is the same where it aims at none.
+	bearableShare = 0.5
+	usualBearable = 300 * time.Millisecond
+	// lagStep is the difference of lags that decides, as a part of what an answer
+	// takes beside the reading of its prompt. Less can't be told apart.
+	lagStep = 0.25
 	// backlogStep is the difference of backlogs that decides between equals.
 	backlogStep = 60 * time.Millisecond
-	// worthStep is the difference of contexts that decides, in tokens: less is
-	// read within some milliseconds.
-	worthStep = 256
 	// usualFactor and usualSlack tell the work above which another holder goes
 	// first.
 	usualFactor = 1.2
@@ -45,12 +49,12 @@
 	// queueShare is how many requests may wait at an endpoint, as a share of
 	// its slots.
 	queueShare = 1.0
-	// fetchTokens is the least context that is worth a transfer between
-	// endpoints: reading fewer takes less time than the set-up.
-	fetchTokens = 256
-	// waitTokens is the least context that is worth the wait for an endpoint that
-	// reads it: at tens of tokens a millisecond, some tens of milliseconds.
-	waitTokens = 1024
+	// leastWait is the least time of reading that a request waits for instead: less
+	// than that passes between two looks.
+	leastWait = 20 * time.Millisecond
+	// waitFactor is how many times longer than reading by itself a request waits for
+	// another one's reading. A prompt that is read twice delays all others there.
+	waitFactor = 3
 	// maxEjected is the largest share of a service's endpoints that is left
 	// out for their failures.
 	maxEjected = 0.5
@@ -83,6 +87,8 @@
 	ColdPerSecond float64
 	// Links are the request's prompt; empty for plain services.
 	Links []crcontext.Link
+	// Target is the time to the first token that the route aims at; zero for none.
+	Target time.Duration
 	// Tried are endpoints that the request was sent to already.
 	Tried []crledger.Key
 	// Hasty is true when the request doesn't wait for an endpoint that reads its
@@ -127,8 +133,10 @@
 	// Source holds context that the endpoint lacks; nil when there is none
 	// worth a transfer.
 	Source *Endpoint
-	// Held and Wanted are the tokens that the endpoint holds and the prompt has.
+	// Held and Wanted are the tokens that the endpoint holds and the prompt has, and
+	// Job is what it does before the first token.
 	Held, Wanted int
+	Job          crpace.Job
 	// Reading is how long to wait for an endpoint that reads a long part of the
 	// prompt just now: no other then has to read it too. Endpoint is nil.
 	Reading time.Duration
@@ -151,6 +159,8 @@
 	Contexts      *crcontext.Table
 	Health        *crhealth.Table
 	Reads         *crledger.Reads
+	Pace          *crpace.Table
+	Disabled      crswitch.Set
 	// Cold reports whether a cold endpoint bears one more request from this
 	// instance now, and counts it.
 	Cold func(e *Endpoint, perSecond float64) bool
@@ -162,6 +172,8 @@
 	// healthy and ejected are the candidates of the last request, whose memory
 	// the next one takes.
 	healthy, ejected []candidate
+	// found are the sources of the last request.
+	found []source
 	// resume is when the first endpoint that the last request was kept from for a
 	// pause takes requests again.
 	resume time.Time
@@ -220,6 +232,8 @@
 	held    int
 	cold    bool
 	backlog time.Duration
+	// lag is the delay of the first token that the choice of this endpoint brings.
+	lag time.Duration
 }
 
 // Place chooses an endpoint.
@@ -235,19 +249,19 @@
 		}
 		return Choice{Reason: Absent, InService: p.inService, RetryAfter: absentRetry}
 	}
-	if c := p.best(now, a, list, mean); c != nil {
-		return p.finish(a, held, c, mean)
+	if c := p.best(now, a, held, list, mean); c != nil {
+		return p.finish(now, a, held, c, mean)
 	}
 	cold := coldest(list, mean)
 	for _, c := range cold {
 		if p.Cold(c.Endpoint, a.ColdPerSecond) {
-			return p.finish(a, held, c, mean)
+			return p.finish(now, a, held, c, mean)
 		}
 	}
 	// Those below the bound may not be used. The bound is no reason to refuse
 	// what the others have room for.
 	if c := lightest(list); c != nil {
-		return p.finish(a, held, c, mean)
+		return p.finish(now, a, held, c, mean)
 	}
 	reason := Busy
 	if len(cold) > 0 {
@@ -285,16 +299,21 @@
 	if a.Hasty || len(a.Links) == 0 {
 		return 0
 	}
+	if p.Disabled.Has(crswitch.ReadingWaits) {
+		return 0
+	}
 	tokens, until := p.Contexts.Reading(now, a.Links)
+	most := 0
 	for k, n := range held {
-		if n+waitTokens > tokens && p.byKey[k] != nil {
-			return 0
+		if p.byKey[k] != nil {
+			most = max(most, n)
 		}
 	}
-	if tokens < waitTokens {
+	own, wait := p.Pace.Read(now, a.Service, 0, tokens-most), until.Sub(now)
+	if own < leastWait || wait > waitFactor*own+p.Pace.Overhead(now, a.Service, 0) {
 		return 0
 	}
-	return until.Sub(now)
+	return wait
 }
 
 // candidates returns the endpoints that may be used, and the mean work of the
@@ -354,12 +373,16 @@
 func (c *candidate) warm() bool { return !c.cold && !c.full() }
 
 // best returns the best of the warm endpoints below the bound, or nil.
-func (p *Placer) best(now time.Time, a Ask, list []candidate, mean float64) *candidate {
-	better := p.lighter
+func (p *Placer) best(now time.Time, a Ask, held map[crledger.Key]int, list []candidate, mean float64) *candidate {
+	better := func(x, y *candidate) bool { return p.lighter(now, a, x, y) }
 	if len(a.Links) > 0 {
-		usual, subject := usualFactor*mean+usualSlack, crcontext.Subject(a.Links)
-		better = func(a Ask, x, y *candidate) bool { return p.nearer(a, subject, usual, x, y) }
+		r := ranking{
+			Placer: p, now: now, ask: a, usual: usualFactor*mean + usualSlack, subject: crcontext.Subject(a.Links),
+			step: max(1, time.Duration(lagStep*float64(p.Pace.Overhead(now, a.Service, 0)))),
+		}
+		better = r.nearer
 	}
+	sources := p.sources(held, a)
 	var best *candidate
 	for i := range list {
 		c := &list[i]
@@ -368,64 +391,146 @@
 		}
 		if len(a.Links) > 0 {
 			c.backlog = p.Reads.Backlog(now, c.Key)
+			c.lag = p.lag(now, a, c, sources)
 		}
-		if best == nil || better(a, c, best) {
+		if best == nil || better(c, best) {
 			best = c
 		}
 	}
 	return best
 }
 
-// nearer reports whether x is better than y for a prompt. Instances that place
-// the same new subject at the same moment agree on the endpoint, since it
-// follows from the subject. Where several hold it, they share the requests: what
-// each knows of the others' work is old, and all would take the same one.
-func (p *Placer) nearer(a Ask, subject uint64, usual float64, x, y *candidate) bool {
-	if order := cmp.Compare(p.worth(x)/worthStep, p.worth(y)/worthStep); order != 0 {
-		return order > 0
+// ranking compares the candidates of one request with a prompt.
+type ranking struct {
+	*Placer
+	now     time.Time
+	ask     Ask
+	usual   float64
+	subject uint64
+	step    time.Duration
+}
+
+// nearer reports whether x is better than y. Instances that place the same new
+// subject at the same moment agree on the endpoint, since it follows from the
+// subject. Where several hold it, they share the requests: what each knows of the
+// others' work is old, and all would take the same one.
+func (r *ranking) nearer(x, y *candidate) bool {
+	if order := cmp.Compare(x.lag/r.step, y.lag/r.step); order != 0 {
+		return order < 0
 	}
-	if light := float64(x.work) <= usual; light != (float64(y.work) <= usual) {
+	if light := r.light(x); light != r.light(y) {
 		return light
 	}
 	if order := cmp.Compare(x.backlog/backlogStep, y.backlog/backlogStep); order != 0 {
 		return order < 0
 	}
-	last := func(c *candidate) uint64 {
-		if c.held > 0 {
-			return crhash.Mix(a.Random, uint64(c.Key))
-		}
-		return crhash.Mix(subject, uint64(c.Key))
+	return r.last(x) < r.last(y)
+}
+
+func (r *ranking) light(c *candidate) bool {
+	return float64(c.work)*r.Pace.Slowness(r.now, c.Key) <= r.usual
+}
+
+// last orders equal candidates at random, those that are slow behind the others as
+// often as they are slower.
+func (r *ranking) last(c *candidate) float64 {
+	seed := r.subject
+	if c.held >= r.shared() {
+		seed = r.ask.Random
 	}
-	return last(x) > last(y)
+	uniform := (float64(crhash.Mix(seed, uint64(c.Key))>>11) + 0.5) / (1 << 53)
+	return -math.Log(uniform) * r.Pace.Slowness(r.now, c.Key)
+}
+
+// shared returns the tokens of the prompt that other requests share.
+func (r *ranking) shared() int {
+	links := r.ask.Links
+	return links[max(0, len(links)-2)].Tokens
 }
 
-// worth returns the context that an endpoint holds, in tokens. One in the own
-// failure domain may hold less: what it lacks comes from another endpoint, while
-// a request to another domain crosses both ways. One that still reads long
-// prompts for others counts as if it held less by what it could read meanwhile.
-func (p *Placer) worth(c *candidate) int {
-	n := c.held
-	if c.FailureDomain == p.FailureDomain {
-		n += localTokens
+// lag returns the delay of the first token at an endpoint: for what it lacks of the
+// prompt, for prompts that it reads first beyond what is bearable, and for the way
+// to another failure domain.
+func (p *Placer) lag(now time.Time, a Ask, c *candidate, sources []source) time.Duration {
+	s, d := p.acquire(now, a, c, sources)
+	if s != nil {
+		d = max(d, p.Pace.Read(now, a.Service, 0, a.Links[len(a.Links)-1].Tokens-c.held))
 	}
-	if late := c.backlog - bearableBacklog; late > 0 {
-		n -= int(late.Milliseconds()) * crledger.ReadRate
+	bearable := usualBearable
+	if a.Target > 0 {
+		bearable = time.Duration(bearableShare * float64(a.Target))
 	}
-	return n
+	d += max(0, c.backlog-bearable)
+	if c.FailureDomain != p.FailureDomain && !p.Disabled.Has(crswitch.DomainPreference) {
+		d += crossing
+	}
+	return d
+}
+
+// source is an endpoint that holds context which others may fetch.
+type source struct {
+	*Endpoint
+	held int
+}
+
+// sources returns for each failure domain the endpoint that holds most of a prompt.
+// It may be one that takes no new work.
+func (p *Placer) sources(held map[crledger.Key]int, a Ask) []source {
+	list := p.found[:0]
+	if p.Disabled.Has(crswitch.ContextMoves) {
+		return list
+	}
+	for k, n := range held {
+		e := p.byKey[k]
+		if e == nil || e.Service != a.Service || slices.Contains(a.Tried, k) {
+			continue
+		}
+		i := slices.IndexFunc(list, func(s source) bool { return s.FailureDomain == e.FailureDomain })
+		switch {
+		case i < 0:
+			list = append(list, source{e, n})
+		// Of those that hold the same the first by id is taken, whatever the order of
+		// the map.
+		case n > list[i].held || n == list[i].held && e.ID < list[i].ID:
+			list[i] = source{e, n}
+		}
+	}
+	p.found = list
+	return list
+}
+
+// acquire returns how an endpoint gets what it lacks of a prompt in the least time:
+// by reading it, or from a source.
+func (p *Placer) acquire(now time.Time, a Ask, c *candidate, sources []source) (*source, time.Duration) {
+	wanted := a.Links[len(a.Links)-1].Tokens
+	least := p.Pace.Read(now, a.Service, c.Key, wanted-c.held)
+	var best *source
+	for i := range sources {
+		s := &sources[i]
+		if s.held <= c.held || s.Key == c.Key {
+			continue
+		}
+		d := p.Pace.Fetch(now, a.Service, s.FailureDomain != c.FailureDomain, s.held-c.held) +
+			p.Pace.Read(now, a.Service, c.Key, wanted-s.held)
+		if d < least || d == least && best != nil && s.ID < best.ID {
+			best, least = s, d
+		}
+	}
+	return best, least
 }
 
 // lighter reports whether x is better than y for a request without context.
-func (p *Placer) lighter(a Ask, x, y *candidate) bool {
-	if order := cmp.Compare(p.cost(x), p.cost(y)); order != 0 {
+func (p *Placer) lighter(now time.Time, a Ask, x, y *candidate) bool {
+	if order := cmp.Compare(p.cost(now, x), p.cost(now, y)); order != 0 {
 		return order < 0
 	}
 	return crhash.Mix(a.Random, uint64(x.Key)) < crhash.Mix(a.Random, uint64(y.Key))
 }
 
 // cost is the work of an endpoint of a plain service, in requests at one of
-// usual size in the own failure domain.
-func (p *Placer) cost(c *candidate) float64 {
-	n := float64(c.work) * relative(c.Slots)
+// usual size and speed in the own failure domain.
+func (p *Placer) cost(now time.Time, c *candidate) float64 {
+	n := float64(c.work) * relative(c.Slots) * p.Pace.Slowness(now, c.Key)
 	if c.FailureDomain != p.FailureDomain {
 		n += foreignDomain
 	}
@@ -442,25 +547,19 @@
 	return usualSlots / float64(slots)
 }
 
-// finish describes a choice and finds a source for the context that the
-// endpoint lacks, which may be an endpoint that takes no new work.
-func (p *Placer) finish(a Ask, held map[crledger.Key]int, c *candidate, mean float64) Choice {
+// finish describes a choice, with the source of the context that the endpoint
+// lacks.
+func (p *Placer) finish(now time.Time, a Ask, held map[crledger.Key]int, c *candidate, mean float64) Choice {
 	choice := Choice{Endpoint: c.Endpoint, Held: c.held, InFlight: c.work, Mean: mean}
 	if len(a.Links) == 0 {
 		return choice
 	}
 	choice.Wanted = a.Links[len(a.Links)-1].Tokens
-	most := c.held + fetchTokens
-	for k, n := range held {
-		e := p.byKey[k]
-		if e == nil || e.Service != a.Service || k == c.Key || n < most || slices.Contains(a.Tried, k) {
-			continue
-		}
-		// Of those that hold the same the first by id is taken, whatever the
-		// order of the map.
-		if choice.Source == nil || n > most || e.ID < choice.Source.ID {
-			choice.Source, most = e, n
-		}
+	choice.Job = crpace.Job{Read: choice.Wanted - c.held, Backlog: p.Reads.Backlog(now, c.Key)}
+	if s, _ := p.acquire(now, a, c, p.sources(held, a)); s != nil {
+		choice.Source = s.Endpoint
+		choice.Job.Read, choice.Job.Fetched = choice.Wanted-s.held, s.held-c.held
+		choice.Job.Far = s.FailureDomain != c.FailureDomain
 	}
 	return choice
 }
--- a/core/crplace/place_test.go
+++ b/core/crplace/place_test.go
@@ -12,6 +12,7 @@
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
+	"crocusrack/core/crpace"
 	"crocusrack/core/crplace"
 	"crocusrack/core/crroster"
 )
@@ -34,6 +35,7 @@
 		Contexts:      &crcontext.Table{},
 		Health:        &crhealth.Table{},
 		Reads:         &crledger.Reads{},
+		Pace:          &crpace.Table{},
 		Cold:          func(*crplace.Endpoint, float64) bool { return false },
 		Out:           func(domain string) bool { return w.out[domain] },
 	}
--- a/core/crswitch/switch.go
+++ b/core/crswitch/switch.go
@@ -9,7 +9,11 @@
 
 // The mechanisms.
 const (
-	EventCoalescing Mechanism = "event-coalescing"
+	ContextMoves     Mechanism = "context-moves"
+	DomainPreference Mechanism = "domain-preference"
+	EventCoalescing  Mechanism = "event-coalescing"
+	LearnedPace      Mechanism = "learned-pace"
+	ReadingWaits     Mechanism = "reading-waits"
 )
 
 // Info describes a mechanism.
@@ -23,7 +27,11 @@
 func Mechanisms() []Info { return table }
 
 var table = []Info{
+	{ContextMoves, "An endpoint fetches context that another holds. Without it it reads the prompt again."},
+	{DomainPreference, "A request with a prompt stays in its failure domain where that delays it little. Without it domains are equal."},
 	{EventCoalescing, "Events of a stream that follow each other closely share a write. Without it each is written at once."},
+	{LearnedPace, "Forecasts use times that were seen. Without it all endpoints are taken for usual ones."},
+	{ReadingWaits, "A request waits for an endpoint that reads a prompt which it shares. Without it another one reads it too."},
 }
 
 // Set is a set of mechanisms. Its zero value is empty.
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -93,25 +93,20 @@
 // unsentReasons tell why a request was sent to no endpoint.
 var unsentReasons = map[verdict]string{notSent: "endpoints-unreachable", withdrawn: "changed-meanwhile"}
 
-const (
-	// readingPoll is how often a request asks again for an endpoint that reads
-	// its prompt.
-	readingPoll = 20 * time.Millisecond
-	// maxReading is how long a request waits for that at most.
-	maxReading = 500 * time.Millisecond
-)
+// readingPoll is how often a request asks again for an endpoint that reads its
+// prompt.
+const readingPoll = 20 * time.Millisecond
 
-// grant asks for an endpoint. It waits a while for one that reads a long part of
-// the request's prompt for another request.
+// grant asks for an endpoint. It waits for one that reads a long part of the
+// request's prompt for another request.
 func (x *exchange) grant(ctx context.Context, tried []crledger.Key) *crgrant.Grant {
 	asked := time.Now()
 	for {
-		waited := time.Since(asked)
 		g := x.State.Grant(time.Now(), crgrant.Ask{
-			Service: x.service, Links: x.links, Tried: tried, Hasty: waited > maxReading || ctx.Err() != nil,
+			Service: x.service, Links: x.links, Tried: tried, Target: x.route.Target, Hasty: ctx.Err() != nil,
 		})
 		if g.Reading <= 0 {
-			x.trace.waited += waited
+			x.trace.waited += time.Since(asked)
 			return g
 		}
 		// An ended context makes the next ask a hasty one.
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -143,10 +143,11 @@
 			Name: s.Instance, FailureDomain: s.FailureDomain, Front: s.Front, Peer: s.Peer,
 			Millicores: uint32(s.CPUShare * 1000),
 		},
-		Run:     r.RunNumber,
-		Retries: crgrant.RetryLimit{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow},
-		Elapsed: r.Elapsed,
-		Urgent:  func() { r.link.Tell() },
+		Run:      r.RunNumber,
+		Retries:  crgrant.RetryLimit{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Elapsed:  r.Elapsed,
+		Disabled: s.Disabled,
+		Urgent:   func() { r.link.Tell() },
 	}
 	r.hop = &crhop.Client{Opened: func() { r.Metrics.Connections.Add(1) }, HeadBytes: s.AnswerHeadBytes}
 	r.forwarder = &crforward.Forwarder{
