Choose endpoints by the rates at which requests failed at all instances

Cause: an instance leaves an endpoint out after three broken answers in a row or six outcomes of which many failed, by what it saw itself. One of nine instances gets half a request a second to one of eighteen endpoints, so that endpoints that fail half of their requests for some seconds are never noticed; where more than half fail, the mean hides them; and a plain endpoint that fails at once has the least work and draws the most requests. Change: instances count good and failed outcomes by endpoint over four seconds and tell each other of endpoints that fail, in reports, digests and bulletins, at most 200 endpoints in one. What an endpoint fails more often than the best quarter of the candidates, beyond one in ten, counts as delay of the first token (2 s for a sure failure) or as work of a plain endpoint (20 requests). Switch: failure-rates.

--- a/core/crgrant/bulletin.go
+++ b/core/crgrant/bulletin.go
@@ -76,7 +76,9 @@
 	}
 	m := &pb.Bulletin{Full: r.bulletin.full}
 	if m.GetFull() {
-		m.WorkEndpoints, m.WorkRequests = workProto(s.work.Sums(func(string) bool { return true }))
+		all := func(string) bool { return true }
+		m.WorkEndpoints, m.WorkRequests = workProto(s.work.Sums(all))
+		m.Failures = failuresProto(s.failures.Sums(now, all))
 	}
 	r.bulletin.full = false
 	m.Digests = r.bulletin.take()
@@ -130,6 +132,7 @@
 		}
 	}
 	s.work.Report(now, fleetWork, work)
+	s.takeFailures(now, fleetWork, m.GetFailures(), s.failures.Own(now))
 	return nil
 }
 
--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"crocusrack/core/crhash"
+	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
 	"crocusrack/core/crroster"
 	pb "crocusrack/schema/crrouter"
@@ -125,7 +126,9 @@
 	if s.reports.tellMembers(now, m.GetMembersHash(), pause) {
 		m.Members = members
 	}
-	m.WorkEndpoints, m.WorkRequests = workProto(s.work.Sums(func(name string) bool { return !strings.HasPrefix(name, domainPrefix) }))
+	own := func(name string) bool { return !strings.HasPrefix(name, domainPrefix) }
+	m.WorkEndpoints, m.WorkRequests = workProto(s.work.Sums(own))
+	m.Failures = failuresProto(s.failures.Sums(now, own))
 	m.Unreachable = s.unreachable(now)
 	m.LeavingEndpoints = s.leaving(now)
 }
@@ -186,6 +189,7 @@
 		return err
 	}
 	s.work.Report(now, domainPrefix+m.GetFailureDomain(), s.takeWorkSums(m.GetWorkEndpoints(), m.GetWorkRequests()))
+	s.takeFailures(now, domainPrefix+m.GetFailureDomain(), m.GetFailures(), crhealth.Counts{})
 	for _, k := range m.GetUnreachable() {
 		s.health.Heard(now, crledger.Key(k))
 	}
--- a/core/crgrant/dump.go
+++ b/core/crgrant/dump.go
@@ -16,6 +16,7 @@
 	Alive             []string       `json:"instances-alive"`
 	Watches           bool           `json:"watches-the-store"`
 	Endpoints         []DumpEndpoint `json:"endpoints"`
+	Services          []DumpService  `json:"services"`
 }
 
 // DumpEndpoint is one endpoint in a Dump.
@@ -27,6 +28,24 @@
 	Draining      bool   `json:"draining"`
 	Cold          bool   `json:"cold"`
 	Usable        bool   `json:"usable"`
+	// FailureRate is the part of the requests that failed there lately, at all
+	// instances.
+	FailureRate float64 `json:"failure-rate"`
+	// Slowness is how many times longer than usual it takes.
+	Slowness float64 `json:"slowness"`
+}
+
+// DumpService is what was learned of a service's endpoints.
+type DumpService struct {
+	Name string `json:"service"`
+	// Overhead is the time to the first token beside the reading of the prompt.
+	Overhead string `json:"overhead"`
+	// ReadThousand and FetchThousand are the times for a thousand tokens.
+	ReadThousand  string `json:"read-thousand-tokens"`
+	FetchThousand string `json:"fetch-thousand-tokens"`
+	// ForecastError is the factor by which forecasts were off in the mean.
+	ForecastError float64 `json:"forecast-error"`
+	Forecasts     int     `json:"forecasts"`
 }
 
 // Dump returns the state as of now.
@@ -56,6 +75,19 @@
 			ID: e.ID, Service: e.Service, FailureDomain: e.FailureDomain,
 			InFlight: s.work.InFlight(e.Key), Draining: e.Draining,
 			Cold: now.Before(e.ColdUntil), Usable: s.health.Usable(now, e.Key),
+			FailureRate: s.failures.Rate(now, e.Key), Slowness: s.pace.Slowness(now, e.Key),
+		})
+	}
+	for _, name := range s.pace.Services() {
+		factor, count := s.pace.Error(name)
+		speed := s.pace.Speed(now, name)
+		d.Services = append(d.Services, DumpService{
+			Name:          name,
+			Overhead:      speed.Overhead(1).String(),
+			ReadThousand:  speed.Read(1, 1000).String(),
+			FetchThousand: speed.Fetch(false, 1000).String(),
+			ForecastError: factor,
+			Forecasts:     count,
 		})
 	}
 	return d
--- /dev/null
+++ b/core/crgrant/failures.go
@@ -0,0 +1,41 @@
+package crgrant
+
+import (
+	"time"
+
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crledger"
+	pb "crocusrack/schema/crrouter"
+)
+
+// failuresProto returns counts as messages have them; nil when there are none.
+func failuresProto(c crhealth.Counts) *pb.Failures {
+	if len(c.Failed) == 0 {
+		return nil
+	}
+	m := &pb.Failures{}
+	for k, n := range c.Failed {
+		if len(m.Endpoints) >= maxWork {
+			break
+		}
+		m.Endpoints = append(m.Endpoints, shortKey(k))
+		m.Failed = append(m.Failed, uint32(n))
+		m.Ended = append(m.Ended, uint32(c.Ended[k]))
+	}
+	return m
+}
+
+// takeFailures takes in what an instance, or several in one sum, told of endpoints
+// that fail. What is part of the sum already is left out.
+func (s *State) takeFailures(now time.Time, from string, m *pb.Failures, counted crhealth.Counts) {
+	c := crhealth.Counts{Failed: make(map[crledger.Key]int), Ended: make(map[crledger.Key]int)}
+	for i, short := range m.GetEndpoints() {
+		k, known := s.short[short]
+		if !known || i >= len(m.GetFailed()) || i >= len(m.GetEnded()) {
+			continue
+		}
+		c.Failed[k] += max(0, int(m.GetFailed()[i])-counted.Failed[k])
+		c.Ended[k] += max(0, int(m.GetEnded()[i])-counted.Ended[k])
+	}
+	s.failures.Report(now, from, c)
+}
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -66,6 +66,7 @@
 	work     crledger.Ledger
 	contexts crcontext.Table
 	health   crhealth.Table
+	failures crhealth.Failures
 	reads    crledger.Reads
 	pace     crpace.Table
 	placer   crplace.Placer
@@ -102,6 +103,7 @@
 			Work:          &s.work,
 			Contexts:      &s.contexts,
 			Health:        &s.health,
+			Failures:      &s.failures,
 			Reads:         &s.reads,
 			Pace:          &s.pace,
 			Disabled:      s.Disabled,
@@ -124,6 +126,7 @@
 	s.mu.Lock()
 	s.now = now
 	s.work.Lapse(now.Add(-workLapse))
+	s.failures.Lapse(now.Add(-workLapse))
 }
 
 // Table returns the routing in force, or nil before the first one.
@@ -214,12 +217,14 @@
 // reading returns how long an endpoint reads what it lacks of a prompt and doesn't
 // fetch.
 func (s *State) reading(now time.Time, c crplace.Choice) time.Duration {
-	return s.pace.Read(now, c.Endpoint.Service, c.Endpoint.Key, c.Job.Read)
+	speed := s.pace.Speed(now, c.Endpoint.Service)
+	return speed.Read(s.pace.Slowness(now, c.Endpoint.Key), c.Job.Read)
 }
 
 // readSlack returns what a reading may take longer than forecast whatever its length.
 func (s *State) readSlack(now time.Time, e *crplace.Endpoint) time.Duration {
-	return overheadMargin * s.pace.Overhead(now, e.Service, e.Key)
+	speed := s.pace.Speed(now, e.Service)
+	return overheadMargin * speed.Overhead(s.pace.Slowness(now, e.Key))
 }
 
 // hold notes a prompt at an endpoint. Other instances are told of the part that
@@ -300,6 +305,7 @@
 		s.hold(now, g.links, g.Endpoint.Key, time.Time{})
 	}
 	g.unread()
+	s.failures.Note(now, g.Endpoint.Key, o)
 	usual := 0.0
 	if o != crhealth.Good {
 		usual = s.placer.UsualRate(g.Endpoint.Service, g.Endpoint.Key)
@@ -390,6 +396,7 @@
 	s.cold.Forget(there)
 	s.reads.Forget(there)
 	s.pace.Forget(there)
+	s.failures.Forget(there)
 	return true
 }
 
--- a/core/crgrant/reading_test.go
+++ b/core/crgrant/reading_test.go
@@ -1,6 +1,7 @@
 package crgrant_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -53,3 +54,54 @@
 		t.Errorf("once it was read the prompt went to %v, which holds %d tokens", second.Endpoint, second.Held)
 	}
 }
+
+// TestFailuresAreTold: six instances see one failure each of an endpoint. Soon all
+// instances know that it fails, and place elsewhere, whatever the way of reports; and
+// some seconds after that it is in use again.
+func TestFailuresAreTold(t *testing.T) {
+	for _, size := range []int{7, 30, 99} {
+		f := newFleet(t, size)
+		f.run(4 * time.Second)
+		ask := func(name string) *crgrant.Grant {
+			return f.nodes[name].Grant(f.now, crgrant.Ask{Service: crroute.Service{Name: "llm"}})
+		}
+		const failing = "llm-3"
+		for i := range 6 {
+			for {
+				g := ask(fmt.Sprint("instance-", i))
+				if g.Endpoint.ID == failing {
+					g.End(f.now, crhealth.Failed)
+					break
+				}
+				g.End(f.now, crhealth.Good)
+			}
+		}
+		f.run(1600 * time.Millisecond)
+		rate := func(name string) float64 {
+			for _, e := range f.nodes[name].Dump(f.now).Endpoints {
+				if e.ID == failing {
+					return e.FailureRate
+				}
+			}
+			t.Fatalf("%s doesn't know %s", name, failing)
+			return 0
+		}
+		for _, name := range []string{"instance-0", "instance-6"} {
+			// Four or five failures are left of six, and three count as good before.
+			if got := rate(name); got < 0.45 || got > 0.7 {
+				t.Errorf("%d instances: rate %.2f at %s, want that of all six failures", size, got, name)
+			}
+			for range 20 {
+				g := ask(name)
+				if g.Endpoint.ID == failing {
+					t.Errorf("%d instances: %s places at the failing endpoint", size, name)
+				}
+				g.Drop(f.now)
+			}
+		}
+		f.run(20 * time.Second)
+		if got := rate("instance-6"); got > 0.1 {
+			t.Errorf("%d instances: rate %.2f after twenty seconds", size, got)
+		}
+	}
+}
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"crocusrack/core/crevidence"
+	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
 	"crocusrack/core/crroster"
 	pb "crocusrack/schema/crrouter"
@@ -127,6 +128,7 @@
 		m.Unreachable = append(m.Unreachable, uint64(k))
 	}
 	m.LeavingEndpoints = s.leaving(now)
+	m.Failures = failuresProto(s.failures.Own(now))
 	return m
 }
 
@@ -367,9 +369,11 @@
 		}
 	}
 	s.work.Report(now, name, work)
+	s.takeFailures(now, name, m.GetFailures(), crhealth.Counts{})
 	if s.roster.IsRelay(now, s.Self.Name) {
 		// Each reports by itself now: what an earlier relay said counts them twice.
 		s.work.Report(now, fleetWork, nil)
+		s.failures.Report(now, fleetWork, crhealth.Counts{})
 		for _, k := range m.GetUnreachable() {
 			s.reports.suspects.note(now, crledger.Key(k), name)
 		}
--- a/core/crpace/line.go
+++ b/core/crpace/line.go
@@ -33,14 +33,18 @@
 	return math.Exp2(-float64(max(0, age-trustedFor)) / float64(forgotten))
 }
 
-// line is an estimate of times that grow with a count of tokens, in milliseconds: a
-// time that is the same for all, and one for each token. It follows the last times
-// that were seen.
+// line gives times that grow with a count of tokens, in milliseconds: a time that is
+// the same for all, and one for each token.
 type line struct {
 	base, slope float64
-	seen        [window]sample
-	count       int
-	drawn       time.Time
+}
+
+// learned is a line that follows the last times that were seen.
+type learned struct {
+	line
+	seen  [window]sample
+	count int
+	drawn time.Time
 }
 
 type sample struct {
@@ -49,11 +53,11 @@
 }
 
 // at returns the estimated time for some tokens, in milliseconds.
-func (l *line) at(tokens int) float64 { return l.base + l.slope*float64(tokens) }
+func (l line) at(tokens int) float64 { return l.base + l.slope*float64(tokens) }
 
 // observe notes that so many tokens took so many milliseconds. The assumption is
 // what holds before the first time.
-func (l *line) observe(now time.Time, assumed *line, tokens int, took float64) {
+func (l *learned) observe(now time.Time, assumed line, tokens int, took float64) {
 	l.seen[l.count%window] = sample{float64(tokens), took, now}
 	l.count++
 	l.redraw(now, assumed)
@@ -61,13 +65,13 @@
 
 // age lets a line that was learned go back to what is assumed when nothing new is
 // seen.
-func (l *line) age(now time.Time, assumed *line) {
+func (l *learned) age(now time.Time, assumed line) {
 	if l.count > 0 && now.Sub(l.drawn) >= redrawn {
 		l.redraw(now, assumed)
 	}
 }
 
-func (l *line) redraw(now time.Time, assumed *line) {
+func (l *learned) redraw(now time.Time, assumed line) {
 	for range rounds {
 		l.draw(now, assumed)
 	}
@@ -77,15 +81,15 @@
 // draw moves the line to where the sum of squared errors is least, each divided by
 // the present error. After some rounds the sum of relative errors is least, on which
 // single times have little influence.
-func (l *line) draw(now time.Time, assumed *line) {
+func (l *learned) draw(now time.Time, assumed line) {
 	var s sums
 	for i := range min(l.count, window) {
 		x := &l.seen[i]
-		s.add(l, x.tokens, x.took, kept(now.Sub(x.at)))
+		s.add(l.line, x.tokens, x.took, kept(now.Sub(x.at)))
 	}
-	s.add(l, 0, assumed.base, priorWeight)
-	s.add(l, priorTokens, assumed.at(priorTokens), priorWeight)
-	l.base, l.slope = s.line()
+	s.add(l.line, 0, assumed.base, priorWeight)
+	s.add(l.line, priorTokens, assumed.at(priorTokens), priorWeight)
+	l.line = s.line()
 	l.base = max(l.base, assumed.base*leastPart)
 	l.slope = max(l.slope, assumed.slope*leastPart)
 }
@@ -95,7 +99,7 @@
 	w, x, y, xx, xy float64
 }
 
-func (s *sums) add(l *line, x, y, weight float64) {
+func (s *sums) add(l line, x, y, weight float64) {
 	forecast := l.base + l.slope*x
 	w := weight / (forecast * max(math.Abs(y-forecast), leastError*forecast))
 	s.w += w
@@ -105,9 +109,9 @@
 	s.xy += w * x * y
 }
 
-// line returns the base and the slope. There are two different counts of tokens at
+// line returns the line of least squares. There are two different counts of tokens at
 // least, those of the assumption.
-func (s *sums) line() (base, slope float64) {
-	slope = (s.w*s.xy - s.x*s.y) / (s.w*s.xx - s.x*s.x)
-	return (s.y - slope*s.x) / s.w, slope
+func (s *sums) line() line {
+	slope := (s.w*s.xy - s.x*s.y) / (s.w*s.xx - s.x*s.x)
+	return line{(s.y - slope*s.x) / s.w, slope}
 }
--- a/core/crpace/pace.go
+++ b/core/crpace/pace.go
@@ -6,7 +6,9 @@
 package crpace
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"crocusrack/core/crledger"
@@ -61,7 +63,7 @@
 }
 
 type service struct {
-	read, near, far line
+	read, near, far learned
 	// errors are the sum of the ratios by which times missed their forecasts, as
 	// logarithms, and their count.
 	errors float64
@@ -70,9 +72,9 @@
 
 func newService() *service {
 	return &service{
-		read: line{base: firstBase, slope: firstPerToken},
-		near: line{base: moveBase, slope: movePerToken},
-		far:  line{base: moveBase, slope: movePerToken * farther},
+		read: learned{line: line{firstBase, firstPerToken}},
+		near: learned{line: line{moveBase, movePerToken}},
+		far:  learned{line: line{moveBase, movePerToken * farther}},
 	}
 }
 
@@ -86,61 +88,80 @@
 	return usual
 }
 
-func (s *service) move(far bool) *line {
+func (s *service) move(far bool) *learned {
 	if far {
 		return &s.far
 	}
 	return &s.near
 }
 
-// endpoint is the mean of the ratios of its times to the usual ones, as logarithms.
+// endpoint is the mean of the ratios of its times to the usual ones.
 type endpoint struct {
+	// sum is that of the logarithms.
 	sum, weight float64
 	at          time.Time
+	// mean is the ratio while all is kept.
+	mean float64
 }
 
-func (e *endpoint) slowness(now time.Time) float64 {
+// Slowness returns how many times longer than usual an endpoint takes.
+func (t *Table) Slowness(now time.Time, k crledger.Key) float64 {
+	e := t.endpoints[k]
 	if e == nil {
 		return 1
 	}
-	return math.Exp(kept(now.Sub(e.at)) * e.sum / (e.weight + slowWeight))
+	if age := now.Sub(e.at); age > trustedFor {
+		return math.Pow(e.mean, kept(age))
+	}
+	return e.mean
 }
 
-// Slowness returns how many times longer than usual an endpoint takes; exactly 1
-// while it isn't clearly slower or faster than the others.
-func (t *Table) Slowness(now time.Time, k crledger.Key) float64 {
-	s := t.endpoints[k].slowness(now)
-	if s < slowTold && s > 1/slowTold {
+// Clearly returns a slowness, and 1 for one that can't be told from usual.
+func Clearly(slowness float64) float64 {
+	if slowness < slowTold && slowness > 1/slowTold {
 		return 1
 	}
-	return s
+	return slowness
+}
+
+// Speed is how fast the usual endpoint of a service is.
+type Speed struct {
+	read, near, far line
+}
+
+// Speed returns how fast the usual endpoint of a service is.
+func (t *Table) Speed(now time.Time, name string) Speed {
+	s := t.service(name)
+	if s != usual {
+		s.near.age(now, usual.near.line)
+		s.far.age(now, usual.far.line)
+	}
+	return Speed{s.read.line, s.near.line, s.far.line}
 }
 
-// Read returns how long an endpoint of a service takes to read some tokens.
-func (t *Table) Read(now time.Time, name string, k crledger.Key, tokens int) time.Duration {
-	return duration(t.endpoints[k].slowness(now) * t.service(name).read.slope * float64(tokens))
+// Read returns how long an endpoint of some slowness takes to read some tokens.
+func (s *Speed) Read(slowness float64, tokens int) time.Duration {
+	return duration(slowness * s.read.slope * float64(tokens))
 }
 
 // Overhead returns how long an endpoint takes for an answer's first token beside
 // the reading of the prompt.
-func (t *Table) Overhead(now time.Time, name string, k crledger.Key) time.Duration {
-	return duration(t.endpoints[k].slowness(now) * t.service(name).read.base)
-}
+func (s *Speed) Overhead(slowness float64) time.Duration { return duration(slowness * s.read.base) }
 
-// Fetch returns how long context takes from one endpoint of a service to another.
-func (t *Table) Fetch(now time.Time, name string, far bool, tokens int) time.Duration {
-	s := t.service(name)
-	if s != usual {
-		s.move(far).age(now, usual.move(far))
+// Fetch returns how long context takes from one endpoint to another.
+func (s *Speed) Fetch(far bool, tokens int) time.Duration {
+	if far {
+		return duration(s.far.at(tokens))
 	}
-	return duration(s.move(far).at(tokens))
+	return duration(s.near.at(tokens))
 }
 
-// Forecast returns how long an endpoint takes until the first token of an answer.
-func (t *Table) Forecast(now time.Time, name string, k crledger.Key, j Job) time.Duration {
-	d := j.Backlog + t.Overhead(now, name, k) + t.Read(now, name, k, j.Read)
+// Forecast returns how long an endpoint of some slowness takes until the first token
+// of an answer.
+func (s *Speed) Forecast(slowness float64, j Job) time.Duration {
+	d := j.Backlog + s.Overhead(slowness) + s.Read(slowness, j.Read)
 	if j.Fetched > 0 {
-		d += t.Fetch(now, name, j.Far, j.Fetched)
+		d += s.Fetch(j.Far, j.Fetched)
 	}
 	return d
 }
@@ -161,15 +182,16 @@
 		s = newService()
 		t.services[name] = s
 	}
-	s.errors += math.Abs(math.Log(float64(max(took, time.Microsecond)) / float64(t.Forecast(now, name, k, j))))
+	speed, slowness := t.Speed(now, name), t.Slowness(now, k)
+	s.errors += math.Abs(math.Log(float64(max(took, time.Microsecond)) / float64(speed.Forecast(slowness, j))))
 	s.count++
 	own := float64(took-j.Backlog) / float64(time.Millisecond)
 	if j.Fetched > 0 {
-		s.move(j.Far).observe(now, usual.move(j.Far), j.Fetched, own-t.endpoints[k].slowness(now)*s.read.at(j.Read))
+		s.move(j.Far).observe(now, usual.move(j.Far).line, j.Fetched, own-slowness*s.read.at(j.Read))
 		return
 	}
 	t.compare(now, k, own/s.read.at(j.Read))
-	s.read.observe(now, &usual.read, j.Read, own)
+	s.read.observe(now, usual.read.line, j.Read, own)
 }
 
 // compare notes the ratio of a time at an endpoint to a usual one.
@@ -185,7 +207,7 @@
 		e.sum -= e.sum / e.weight
 	}
 	e.sum += math.Log(max(1/slowLimit, min(slowLimit, ratio)))
-	e.at = now
+	e.at, e.mean = now, math.Exp(e.sum/(e.weight+slowWeight))
 }
 
 // Error returns by what factor the times of a service missed their forecasts in the
@@ -198,6 +220,9 @@
 	return math.Exp(s.errors / float64(s.count)), s.count
 }
 
+// Services returns the services that something was seen of, sorted.
+func (t *Table) Services() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 // Forget drops the endpoints that keep doesn't want.
 func (t *Table) Forget(keep func(crledger.Key) bool) {
 	for k := range t.endpoints {
--- a/core/crpace/pace_test.go
+++ b/core/crpace/pace_test.go
@@ -41,6 +41,16 @@
 	return math.Abs(math.Log(float64(got)/float64(want))) <= math.Log(factor)
 }
 
+func forecast(t *crpace.Table, now time.Time, k crledger.Key, j crpace.Job) time.Duration {
+	s := t.Speed(now, "llm")
+	return s.Forecast(t.Slowness(now, k), j)
+}
+
+func fetch(t *crpace.Table, now time.Time) time.Duration {
+	s := t.Speed(now, "llm")
+	return s.Fetch(false, 10_000)
+}
+
 // TestForecastConverges: the forecast for engines of any speed is right after some
 // tens of requests, and again after the speed has changed.
 func TestForecastConverges(t *testing.T) {
@@ -66,7 +76,7 @@
 			for _, j := range []crpace.Job{{Read: 10}, {Read: 20_000}, {Read: 100, Fetched: 15_000}} {
 				exact := engine{base: e.base, perToken: e.perToken, movePerToken: e.movePerToken, slow: e.slow, random: rand.New(rand.NewPCG(1, 2))}
 				want := exact.took(j)
-				if got := table.Forecast(now, "llm", 1, j); !within(got, want, 1.7) {
+				if got := forecast(&table, now, 1, j); !within(got, want, 1.7) {
 					t.Errorf("%s: forecast %s for %+v, want %s", when, got, j, want)
 				}
 			}
@@ -99,16 +109,17 @@
 		}
 	}
 	play(3)
-	if a, b := table.Read(now, "llm", 1, 3000), table.Read(now, "llm", 3, 3000); b < 2*a || table.Slowness(now, 3) == 1 {
+	j := crpace.Job{Read: 3000}
+	if a, b := forecast(&table, now, 1, j), forecast(&table, now, 3, j); b < 2*a || crpace.Clearly(table.Slowness(now, 3)) == 1 {
 		t.Errorf("3000 tokens are read in %s, and in %s by the slow endpoint, want three times as much", a, b)
 	}
 	play(1)
-	if got := table.Slowness(now, 3); got != 1 {
+	if got := crpace.Clearly(table.Slowness(now, 3)); got != 1 {
 		t.Errorf("slowness %.2f once it is as fast as the others, want 1", got)
 	}
 	// What isn't seen again is forgotten.
 	play(3)
-	if got := table.Slowness(now.Add(10*time.Minute), 3); got != 1 {
+	if got := crpace.Clearly(table.Slowness(now.Add(10*time.Minute), 3)); got != 1 {
 		t.Errorf("slowness %.2f ten minutes later, want 1", got)
 	}
 }
@@ -134,9 +145,9 @@
 			j := crpace.Job{Read: 80 * i}
 			table.Observe(start, "llm", 1, j, e.took(j))
 		}
-		before := table.Forecast(start, "llm", 1, crpace.Job{Read: 5000})
+		before := forecast(&table, start, 1, crpace.Job{Read: 5000})
 		table.Observe(start, "llm", 1, c.job, c.took)
-		after := table.Forecast(start, "llm", 1, crpace.Job{Read: 5000})
+		after := forecast(&table, start, 1, crpace.Job{Read: 5000})
 		if !within(after, before, 1.1) {
 			t.Errorf("%s: forecast %s after, %s before", c.name, after, before)
 		}
@@ -147,19 +158,19 @@
 // nothing shows when they are fast again; the forecast goes back by itself.
 func TestMovesAreTriedAgain(t *testing.T) {
 	var table crpace.Table
-	usual := table.Fetch(start, "llm", false, 10_000)
+	usual := fetch(&table, start)
 	now := start
 	for range 20 {
 		now = now.Add(time.Second)
 		table.Observe(now, "llm", 1, crpace.Job{Read: 100, Fetched: 10_000}, 2*time.Second)
 	}
-	if got := table.Fetch(now, "llm", false, 10_000); got < time.Second {
+	if got := fetch(&table, now); got < time.Second {
 		t.Errorf("forecast %s after moves of 2 s", got)
 	}
-	if got := table.Fetch(now.Add(time.Minute), "llm", false, 10_000); got < time.Second {
+	if got := fetch(&table, now.Add(time.Minute)); got < time.Second {
 		t.Errorf("forecast %s a minute later, want it to hold", got)
 	}
-	if got := table.Fetch(now.Add(15*time.Minute), "llm", false, 10_000); got > 2*usual {
+	if got := fetch(&table, now.Add(15*time.Minute)); got > 2*usual {
 		t.Errorf("forecast %s a quarter of an hour later, want about %s as at first", got, usual)
 	}
 }
--- a/core/crplace/forecast_test.go
+++ b/core/crplace/forecast_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"crocusrack/core/crcontext"
+	"crocusrack/core/crhealth"
 	"crocusrack/core/crledger"
 	"crocusrack/core/crpace"
 	"crocusrack/core/crplace"
@@ -141,3 +143,57 @@
 		t.Errorf("waits %s for the reading of 500 tokens", got.Reading)
 	}
 }
+
+// TestFailingEndpoint plays one of three plain endpoints, and six of nine engines, that
+// fail every second request. One that fails at once has the least work and would get
+// the most requests.
+func TestFailingEndpoint(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		size, failing int
+		ask           func(i int) crplace.Ask
+		disabled      []string
+		least, most   int
+	}{
+		{"plain", 3, 1, func(i int) crplace.Ask { return crplace.Ask{Service: "llm"} }, nil, 0, 60},
+		{"engines", 9, 6, newSubject, nil, 0, 160},
+		{"switched off", 3, 1, func(i int) crplace.Ask { return crplace.Ask{Service: "llm"} },
+			[]string{string(crswitch.FailureRates)}, 100, 400},
+	} {
+		w := newWorld(c.size)
+		w.FailureDomain, w.Disabled = "", crswitch.NewSet(c.disabled)
+		random := rand.New(rand.NewPCG(1, 2))
+		type run struct {
+			end time.Time
+			key crledger.Key
+		}
+		var runs []run
+		now, failing := start, 0
+		for i := range 400 {
+			now = now.Add(20 * time.Millisecond)
+			runs = slices.DeleteFunc(runs, func(r run) bool {
+				if now.Before(r.end) {
+					return false
+				}
+				w.Work.End(r.key)
+				return true
+			})
+			a := c.ask(i)
+			a.Random = random.Uint64()
+			got := w.Place(now, a)
+			outcome, took := crhealth.Good, 60*time.Millisecond
+			if slices.Index(w.endpoints, got.Endpoint) < c.failing {
+				failing++
+				if i%2 == 0 {
+					outcome, took = crhealth.Failed, time.Millisecond
+				}
+			}
+			w.Failures.Note(now, got.Endpoint.Key, outcome)
+			w.Work.Start(got.Endpoint.Key)
+			runs = append(runs, run{now.Add(took), got.Endpoint.Key})
+		}
+		if failing < c.least || failing > c.most {
+			t.Errorf("%s: failing endpoints got %d of 400 requests, want %d to %d", c.name, failing, c.least, c.most)
+		}
+	}
+}
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -55,6 +55,16 @@
 	// waitFactor is how many times longer than reading by itself a request waits for
 	// another one's reading. A prompt that is read twice delays all others there.
 	waitFactor = 3
+	// failSlack is how much more often than usual requests may fail at an endpoint
+	// before that counts: some failures follow the request.
+	failSlack = 0.1
+	// usualShare is the part of the endpoints that fail less often than usual: when
+	// most of them fail, the others tell what is usual.
+	usualShare = 0.25
+	// failLag is the delay, and failWork the work of a plain endpoint, that a request
+	// which is sure to fail is worth: its caller has to come again.
+	failLag  = 2 * time.Second
+	failWork = 20.0
 	// maxEjected is the largest share of a service's endpoints that is left
 	// out for their failures.
 	maxEjected = 0.5
@@ -158,6 +168,7 @@
 	Work          *crledger.Ledger
 	Contexts      *crcontext.Table
 	Health        *crhealth.Table
+	Failures      *crhealth.Failures
 	Reads         *crledger.Reads
 	Pace          *crpace.Table
 	Disabled      crswitch.Set
@@ -174,6 +185,10 @@
 	healthy, ejected []candidate
 	// found are the sources of the last request.
 	found []source
+	// speed is that of the last request's service.
+	speed crpace.Speed
+	// rates are the rates of failures of the last candidates.
+	rates []float64
 	// resume is when the first endpoint that the last request was kept from for a
 	// pause takes requests again.
 	resume time.Time
@@ -232,6 +247,10 @@
 	held    int
 	cold    bool
 	backlog time.Duration
+	// fails is how much more often than usual requests failed there lately.
+	fails float64
+	// slowness is how many times longer than usual it takes.
+	slowness float64
 	// lag is the delay of the first token that the choice of this endpoint brings.
 	lag time.Duration
 }
@@ -239,6 +258,7 @@
 // Place chooses an endpoint.
 func (p *Placer) Place(now time.Time, a Ask) Choice {
 	held := p.Contexts.Held(now, a.Links)
+	p.speed = p.Pace.Speed(now, a.Service)
 	if wait := p.reading(now, a, held); wait > 0 {
 		return Choice{Reason: Reading, Reading: wait}
 	}
@@ -309,8 +329,8 @@
 			most = max(most, n)
 		}
 	}
-	own, wait := p.Pace.Read(now, a.Service, 0, tokens-most), until.Sub(now)
-	if own < leastWait || wait > waitFactor*own+p.Pace.Overhead(now, a.Service, 0) {
+	own, wait := p.speed.Read(1, tokens-most), until.Sub(now)
+	if own < leastWait || wait > waitFactor*own+p.speed.Overhead(1) {
 		return 0
 	}
 	return wait
@@ -345,6 +365,7 @@
 			Endpoint: e,
 			work:     work,
 			held:     held[e.Key],
+			slowness: p.Pace.Slowness(now, e.Key),
 			cold:     a.ColdPerSecond > 0 && now.Before(e.ColdUntil),
 		}
 		if p.Health.Usable(now, e.Key) {
@@ -353,6 +374,7 @@
 			p.ejected = append(p.ejected, c)
 		}
 	}
+	p.rateFailures(now)
 	p.inService = sum
 	mean := float64(sum) / float64(max(count, 1))
 	if float64(len(p.ejected)) > maxEjected*float64(len(p.healthy)+len(p.ejected)) {
@@ -361,6 +383,35 @@
 	return p.healthy, mean
 }
 
+// rateFailures notes how much more often than usual requests failed at the candidates.
+func (p *Placer) rateFailures(now time.Time) {
+	if p.Disabled.Has(crswitch.FailureRates) || !p.Failures.Any(now, failSlack) {
+		return
+	}
+	lists := [][]candidate{p.healthy, p.ejected}
+	p.rates = p.rates[:0]
+	for _, list := range lists {
+		for i := range list {
+			list[i].fails = p.Failures.Rate(now, list[i].Key)
+			p.rates = append(p.rates, list[i].fails)
+		}
+	}
+	if len(p.rates) == 0 {
+		return
+	}
+	slices.Sort(p.rates)
+	usual := p.rates[int(usualShare*float64(len(p.rates)))]
+	for _, list := range lists {
+		for i := range list {
+			if c := &list[i]; c.fails-usual > failSlack {
+				c.fails -= usual
+			} else {
+				c.fails = 0
+			}
+		}
+	}
+}
+
 // over reports whether an endpoint has more work than the bound.
 func (c *candidate) over(mean float64) bool { return float64(c.work) >= boundFactor*mean+boundSlack }
 
@@ -374,11 +425,11 @@
 
 // best returns the best of the warm endpoints below the bound, or nil.
 func (p *Placer) best(now time.Time, a Ask, held map[crledger.Key]int, list []candidate, mean float64) *candidate {
-	better := func(x, y *candidate) bool { return p.lighter(now, a, x, y) }
+	better := func(x, y *candidate) bool { return p.lighter(a, x, y) }
 	if len(a.Links) > 0 {
 		r := ranking{
-			Placer: p, now: now, ask: a, usual: usualFactor*mean + usualSlack, subject: crcontext.Subject(a.Links),
-			step: max(1, time.Duration(lagStep*float64(p.Pace.Overhead(now, a.Service, 0)))),
+			Placer: p, ask: a, usual: usualFactor*mean + usualSlack, subject: crcontext.Subject(a.Links),
+			step: max(1, time.Duration(lagStep*float64(p.speed.Overhead(1)))),
 		}
 		better = r.nearer
 	}
@@ -391,7 +442,7 @@
 		}
 		if len(a.Links) > 0 {
 			c.backlog = p.Reads.Backlog(now, c.Key)
-			c.lag = p.lag(now, a, c, sources)
+			c.lag = p.lag(a, c, sources)
 		}
 		if best == nil || better(c, best) {
 			best = c
@@ -403,7 +454,6 @@
 // ranking compares the candidates of one request with a prompt.
 type ranking struct {
 	*Placer
-	now     time.Time
 	ask     Ask
 	usual   float64
 	subject uint64
@@ -428,7 +478,7 @@
 }
 
 func (r *ranking) light(c *candidate) bool {
-	return float64(c.work)*r.Pace.Slowness(r.now, c.Key) <= r.usual
+	return float64(c.work)*crpace.Clearly(c.slowness) <= r.usual
 }
 
 // last orders equal candidates at random, those that are slow behind the others as
@@ -439,7 +489,7 @@
 		seed = r.ask.Random
 	}
 	uniform := (float64(crhash.Mix(seed, uint64(c.Key))>>11) + 0.5) / (1 << 53)
-	return -math.Log(uniform) * r.Pace.Slowness(r.now, c.Key)
+	return -math.Log(uniform) * crpace.Clearly(c.slowness)
 }
 
 // shared returns the tokens of the prompt that other requests share.
@@ -451,16 +501,16 @@
 // lag returns the delay of the first token at an endpoint: for what it lacks of the
 // prompt, for prompts that it reads first beyond what is bearable, and for the way
 // to another failure domain.
-func (p *Placer) lag(now time.Time, a Ask, c *candidate, sources []source) time.Duration {
-	s, d := p.acquire(now, a, c, sources)
+func (p *Placer) lag(a Ask, c *candidate, sources []source) time.Duration {
+	s, d := p.acquire(a, c, sources)
 	if s != nil {
-		d = max(d, p.Pace.Read(now, a.Service, 0, a.Links[len(a.Links)-1].Tokens-c.held))
+		d = max(d, p.speed.Read(1, a.Links[len(a.Links)-1].Tokens-c.held))
 	}
 	bearable := usualBearable
 	if a.Target > 0 {
 		bearable = time.Duration(bearableShare * float64(a.Target))
 	}
-	d += max(0, c.backlog-bearable)
+	d += max(0, c.backlog-bearable) + time.Duration(c.fails*float64(failLag))
 	if c.FailureDomain != p.FailureDomain && !p.Disabled.Has(crswitch.DomainPreference) {
 		d += crossing
 	}
@@ -501,17 +551,17 @@
 
 // acquire returns how an endpoint gets what it lacks of a prompt in the least time:
 // by reading it, or from a source.
-func (p *Placer) acquire(now time.Time, a Ask, c *candidate, sources []source) (*source, time.Duration) {
+func (p *Placer) acquire(a Ask, c *candidate, sources []source) (*source, time.Duration) {
 	wanted := a.Links[len(a.Links)-1].Tokens
-	least := p.Pace.Read(now, a.Service, c.Key, wanted-c.held)
+	least := p.speed.Read(c.slowness, wanted-c.held)
 	var best *source
 	for i := range sources {
 		s := &sources[i]
 		if s.held <= c.held || s.Key == c.Key {
 			continue
 		}
-		d := p.Pace.Fetch(now, a.Service, s.FailureDomain != c.FailureDomain, s.held-c.held) +
-			p.Pace.Read(now, a.Service, c.Key, wanted-s.held)
+		d := p.speed.Fetch(s.FailureDomain != c.FailureDomain, s.held-c.held) +
+			p.speed.Read(c.slowness, wanted-s.held)
 		if d < least || d == least && best != nil && s.ID < best.ID {
 			best, least = s, d
 		}
@@ -520,8 +570,8 @@
 }
 
 // lighter reports whether x is better than y for a request without context.
-func (p *Placer) lighter(now time.Time, a Ask, x, y *candidate) bool {
-	if order := cmp.Compare(p.cost(now, x), p.cost(now, y)); order != 0 {
+func (p *Placer) lighter(a Ask, x, y *candidate) bool {
+	if order := cmp.Compare(p.cost(x), p.cost(y)); order != 0 {
 		return order < 0
 	}
 	return crhash.Mix(a.Random, uint64(x.Key)) < crhash.Mix(a.Random, uint64(y.Key))
@@ -529,8 +579,8 @@
 
 // cost is the work of an endpoint of a plain service, in requests at one of
 // usual size and speed in the own failure domain.
-func (p *Placer) cost(now time.Time, c *candidate) float64 {
-	n := float64(c.work) * relative(c.Slots) * p.Pace.Slowness(now, c.Key)
+func (p *Placer) cost(c *candidate) float64 {
+	n := float64(c.work)*relative(c.Slots)*crpace.Clearly(c.slowness) + failWork*c.fails
 	if c.FailureDomain != p.FailureDomain {
 		n += foreignDomain
 	}
@@ -556,7 +606,7 @@
 	}
 	choice.Wanted = a.Links[len(a.Links)-1].Tokens
 	choice.Job = crpace.Job{Read: choice.Wanted - c.held, Backlog: p.Reads.Backlog(now, c.Key)}
-	if s, _ := p.acquire(now, a, c, p.sources(held, a)); s != nil {
+	if s, _ := p.acquire(a, c, p.sources(held, a)); s != nil {
 		choice.Source = s.Endpoint
 		choice.Job.Read, choice.Job.Fetched = choice.Wanted-s.held, s.held-c.held
 		choice.Job.Far = s.FailureDomain != c.FailureDomain
--- a/core/crplace/place_test.go
+++ b/core/crplace/place_test.go
@@ -34,6 +34,7 @@
 		Work:          &crledger.Ledger{},
 		Contexts:      &crcontext.Table{},
 		Health:        &crhealth.Table{},
+		Failures:      &crhealth.Failures{},
 		Reads:         &crledger.Reads{},
 		Pace:          &crpace.Table{},
 		Cold:          func(*crplace.Endpoint, float64) bool { return false },
--- a/core/crswitch/switch.go
+++ b/core/crswitch/switch.go
@@ -12,6 +12,7 @@
 	ContextMoves     Mechanism = "context-moves"
 	DomainPreference Mechanism = "domain-preference"
 	EventCoalescing  Mechanism = "event-coalescing"
+	FailureRates     Mechanism = "failure-rates"
 	LearnedPace      Mechanism = "learned-pace"
 	ReadingWaits     Mechanism = "reading-waits"
 )
@@ -30,6 +31,7 @@
 	{ContextMoves, "An endpoint fetches context that another holds. Without it it reads the prompt again."},
 	{DomainPreference, "A request with a prompt stays in its failure domain where that delays it little. Without it domains are equal."},
 	{EventCoalescing, "Events of a stream that follow each other closely share a write. Without it each is written at once."},
+	{FailureRates, "Endpoints at which requests fail more often than at others are chosen last, by what all instances saw. Without it they are only left out after several failures of one instance."},
 	{LearnedPace, "Forecasts use times that were seen. Without it all endpoints are taken for usual ones."},
 	{ReadingWaits, "A request waits for an endpoint that reads a prompt which it shares. Without it another one reads it too."},
 }
