--- a/core/crpace/line.go
+++ b/core/crpace/line.go
@@ -17,8 +17,10 @@
 	rounds = 6
 	// leastError is the relative error below which all times count the same.
 	leastError = 0.02
-	// leastPart bounds both parts of a line from below, as parts of the assumption.
+	// leastPart and mostPart bound the parts of a line, as parts of the assumption. A
+	// base beyond that would be a queue that nobody knew of.
 	leastPart = 0.001
+	mostPart  = 12
 	// trustedFor is how long a time counts in full. From then on it counts half after
 	// each further forgotten: what it says may be over, and is only found out by
 	// trying.
@@ -90,7 +92,7 @@
 	s.add(l.line, 0, assumed.base, priorWeight)
 	s.add(l.line, priorTokens, assumed.at(priorTokens), priorWeight)
 	l.line = s.line()
-	l.base = max(l.base, assumed.base*leastPart)
+	l.base = min(max(l.base, assumed.base*leastPart), assumed.base*mostPart)
 	l.slope = max(l.slope, assumed.slope*leastPart)
 }
 
