--- a/core/crpace/example_test.go
+++ b/core/crpace/example_test.go
@@ -18,6 +18,6 @@
 		table.Observe(now, "llm", 1, crpace.Job{Read: read}, 40*time.Millisecond+time.Duration(read)*100*time.Microsecond)
 	}
 	speed := table.Speed(now, "llm")
-	fmt.Println(speed.Forecast(1, crpace.Job{Read: 3000}).Round(10 * time.Millisecond))
+	fmt.Println(speed.Forecast(1, crpace.Job{Read: 3000}).Total().Round(10 * time.Millisecond))
 	// Output: 340ms
 }
--- a/core/crpace/pace.go
+++ b/core/crpace/pace.go
@@ -156,14 +156,23 @@
 	return duration(s.near.at(tokens))
 }
 
+// Forecast is how long an endpoint takes until the first token of an answer, by what
+// it does.
+type Forecast struct {
+	Backlog, Fetching, Reading, Overhead time.Duration
+}
+
+// Total returns the whole time.
+func (f Forecast) Total() time.Duration { return f.Backlog + f.Fetching + f.Reading + f.Overhead }
+
 // Forecast returns how long an endpoint of some slowness takes until the first token
 // of an answer.
-func (s *Speed) Forecast(slowness float64, j Job) time.Duration {
-	d := j.Backlog + s.Overhead(slowness) + s.Read(slowness, j.Read)
+func (s *Speed) Forecast(slowness float64, j Job) Forecast {
+	f := Forecast{Backlog: j.Backlog, Reading: s.Read(slowness, j.Read), Overhead: s.Overhead(slowness)}
 	if j.Fetched > 0 {
-		d += s.Fetch(j.Far, j.Fetched)
+		f.Fetching = s.Fetch(j.Far, j.Fetched)
 	}
-	return d
+	return f
 }
 
 func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
@@ -183,7 +192,7 @@
 		t.services[name] = s
 	}
 	speed, slowness := t.Speed(now, name), t.Slowness(now, k)
-	s.errors += math.Abs(math.Log(float64(max(took, time.Microsecond)) / float64(speed.Forecast(slowness, j))))
+	s.errors += math.Abs(math.Log(float64(max(took, time.Microsecond)) / float64(speed.Forecast(slowness, j).Total())))
 	s.count++
 	own := float64(took-j.Backlog) / float64(time.Millisecond)
 	if j.Fetched > 0 {
--- a/core/crpace/pace_test.go
+++ b/core/crpace/pace_test.go
@@ -43,7 +43,7 @@
 
 func forecast(t *crpace.Table, now time.Time, k crledger.Key, j crpace.Job) time.Duration {
 	s := t.Speed(now, "llm")
-	return s.Forecast(t.Slowness(now, k), j)
+	return s.Forecast(t.Slowness(now, k), j).Total()
 }
 
 func fetch(t *crpace.Table, now time.Time) time.Duration {
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -102,6 +102,8 @@
 	// Job is what it does before the first token.
 	Held, Wanted int
 	Job          crpace.Job
+	// Forecast is how long that takes.
+	Forecast crpace.Forecast
 	// Reading is how long to wait for an endpoint that reads a long part of the
 	// prompt just now: no other then has to read it too. Endpoint is nil.
 	Reading time.Duration
--- a/core/crplace/source.go
+++ b/core/crplace/source.go
@@ -75,5 +75,6 @@
 		choice.Job.Read, choice.Job.Fetched = choice.Wanted-s.held, s.held-c.held
 		choice.Job.Far = s.FailureDomain != c.FailureDomain
 	}
+	choice.Forecast = p.speed.Forecast(c.slowness, choice.Job)
 	return choice
 }
--- a/io/crctl/table.go
+++ b/io/crctl/table.go
@@ -64,6 +64,11 @@
 		{Name: "dump", Synopsis: "write the state of one instance", minArgs: 0, maxArgs: 0, setup: setupDump,
 			Doc:     "Writes the state of the process at -operator as JSON.",
 			Example: "crocusctl -plain-text -operator 127.0.0.1:20302 dump"},
+		{Name: "explain", Synopsis: "tell from logs why callers were served late", Arguments: "LOG", minArgs: 1, maxArgs: 1, setup: setupExplain,
+			Doc: "Reads the log lines of daemons that run crocusrackd route, of one or of many, from a file or from standard input (-)." +
+				" For each route it counts the requests that had no answer, by how they ended, and those whose first token came late," +
+				" by the part of the path that took most of the time.",
+			Example: "crocusctl explain router.log"},
 		{Name: "get", Synopsis: "write the current catalogue as a file", minArgs: 0, maxArgs: 0, setup: setupGet,
 			Doc:     "Writes the catalogue in force at the instance, with its version in the first line.",
 			Example: "crocusctl -plain-text get >catalogue.toml"},
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -55,7 +55,7 @@
 			back = grant.RetryAfter
 			break
 		}
-		x.trace.attempt(grant)
+		x.trace.attempt(grant, time.Since(x.start))
 		result := x.attempt(ctx, grant, x.request.LastEvent)
 		if result.verdict != withdrawn {
 			tried = append(tried, grant.Endpoint.Key)
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -101,7 +101,7 @@
 			return nil, nil
 		}
 		*tried = append(*tried, g.Endpoint.Key)
-		x.trace.attempt(g)
+		x.trace.attempt(g, time.Since(x.start))
 		last := ""
 		if id, ok := s.splitter.Last(); ok {
 			last = strconv.FormatUint(id, 10)
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -25,15 +25,17 @@
 	// comeBack is when a refused caller was told to come back.
 	comeBack time.Duration
 	// waited is the time spent on an endpoint that read a shared prompt.
-	waited  time.Duration
-	grant   *crgrant.Grant
+	waited time.Duration
+	grant  *crgrant.Grant
+	// granted is the time from the request to the last grant.
+	granted time.Duration
 	firstAt time.Time
 }
 
-// attempt notes a grant.
-func (t *trace) attempt(g *crgrant.Grant) {
+// attempt notes a grant that the request got after a time.
+func (t *trace) attempt(g *crgrant.Grant, after time.Duration) {
 	t.attempts++
-	t.grant = g
+	t.grant, t.granted = g, after
 }
 
 // first notes the header of a stream.
@@ -69,7 +71,8 @@
 		fields = append(fields, zap.Uint64("routing-version", x.table.Version), zap.Duration("routing-age-ms", x.age))
 	}
 	if x.route != nil {
-		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service.Name))
+		fields = append(fields, zap.String("route", x.route.Name), zap.String("service", x.service.Name),
+			zap.Duration("target-ms", x.route.Target))
 	}
 	if x.account != nil {
 		fields = append(fields, zap.String("account", x.account.Name))
@@ -78,6 +81,7 @@
 		fields = append(fields, zap.Duration("first-ms", x.trace.firstAt.Sub(x.start)))
 	}
 	if g := x.trace.grant; g != nil {
+		fields = append(fields, zap.Duration("granted-ms", x.trace.granted))
 		fields = append(fields, grantFields(g)...)
 	}
 	if len(x.links) > 0 {
@@ -110,7 +114,9 @@
 		zap.Float64("mean", g.Mean),
 	}
 	if g.Wanted > 0 {
-		fields = append(fields, zap.Int("tokens-held", g.Held), zap.Int("tokens", g.Wanted))
+		fields = append(fields, zap.Int("tokens-held", g.Held), zap.Int("tokens", g.Wanted),
+			zap.Duration("backlog-ms", g.Forecast.Backlog), zap.Duration("fetching-ms", g.Forecast.Fetching),
+			zap.Duration("reading-ms", g.Forecast.Reading), zap.Duration("overhead-ms", g.Forecast.Overhead))
 	}
 	if g.Source != nil {
 		fields = append(fields, zap.String("context-from", g.Source.ID))
