Wait for no reading at an endpoint that is out of use

Cause: a request waits for the endpoint that reads its prompt until the reading is over by the forecast, also when that endpoint was put out of use meanwhile. Change: readings at endpoints that are gone or out of use aren't waited for. Tried and not kept: the overhead of slow endpoints in the delay of the first token.

--- a/core/crcontext/context.go
+++ b/core/crcontext/context.go
@@ -174,11 +174,11 @@
 	return held
 }
 
-// Reading returns the longest chain of a prompt that an endpoint is reading, in
+// Reading returns the longest chain of a prompt that a usable endpoint is reading, in
 // tokens, and when it has read it at the latest.
-func (t *Table) Reading(now time.Time, links []Link) (tokens int, until time.Time) {
+func (t *Table) Reading(now time.Time, links []Link, usable func(crledger.Key) bool) (tokens int, until time.Time) {
 	t.each(now, links, func(l Link, h *holder) {
-		if h.reading(now) && l.Tokens > tokens {
+		if h.reading(now) && l.Tokens > tokens && usable(h.endpoint) {
 			tokens, until = l.Tokens, h.readingUntil
 		}
 	})
--- a/core/crcontext/context_test.go
+++ b/core/crcontext/context_test.go
@@ -17,6 +17,8 @@
 	other  = crcontext.Chain("m", []crcontext.Part{{ID: "system", Tokens: 500}, {ID: "catalogue", Tokens: 700}, {ID: "question-1", Tokens: 100}})
 )
 
+func every(crledger.Key) bool { return true }
+
 func note(t *crcontext.Table, links []crcontext.Link, k crledger.Key, until time.Time) {
 	for i, l := range links {
 		t.Note(start, l, i < len(links)-1, k, until)
@@ -55,7 +57,7 @@
 	if got := table.Held(start, second); len(got) > 0 {
 		t.Errorf("%v is held while it is read", got)
 	}
-	if tokens, at := table.Reading(start, second); tokens != 9500 || !at.Equal(until) {
+	if tokens, at := table.Reading(start, second, every); tokens != 9500 || !at.Equal(until) {
 		t.Errorf("reads %d tokens until %s, want 9500 until %s", tokens, at, until)
 	}
 	table.Note(start, first[1], true, 1, time.Time{})
--- a/core/crplace/forecast_test.go
+++ b/core/crplace/forecast_test.go
@@ -120,17 +120,22 @@
 		name     string
 		until    time.Duration
 		disabled []string
+		down     bool
 		waits    bool
 	}{
-		{"soon read", 200 * time.Millisecond, nil, true},
-		{"behind a queue", 3 * time.Second, nil, false},
-		{"switched off", 200 * time.Millisecond, []string{string(crswitch.ReadingWaits)}, false},
+		{"soon read", 200 * time.Millisecond, nil, false, true},
+		{"behind a queue", 3 * time.Second, nil, false, false},
+		{"at an endpoint that can't be reached", 200 * time.Millisecond, nil, true, false},
+		{"switched off", 200 * time.Millisecond, []string{string(crswitch.ReadingWaits)}, false, false},
 	} {
 		w := newWorld(9)
 		w.Disabled = crswitch.NewSet(c.disabled)
 		for _, l := range links {
 			w.Contexts.Note(start, l, true, w.endpoints[2].Key, start.Add(c.until))
 		}
+		if c.down {
+			w.Health.Note(start, w.endpoints[2].Key, crhealth.Unreachable, 0)
+		}
 		if got := w.Place(start, crplace.Ask{Service: "llm", Links: links}); (got.Reading > 0) != c.waits {
 			t.Errorf("%s: a wait of %s, want one %t", c.name, got.Reading, c.waits)
 		}
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -247,7 +247,9 @@
 	if a.Hasty || len(a.Links) == 0 || p.Disabled.Has(crswitch.ReadingWaits) {
 		return 0
 	}
-	tokens, until := p.Contexts.Reading(now, a.Links)
+	tokens, until := p.Contexts.Reading(now, a.Links, func(k crledger.Key) bool {
+		return p.byKey[k] != nil && p.Health.Usable(now, k)
+	})
 	most := 0
 	for k, n := range held {
 		if p.byKey[k] != nil {
