--- a/core/crgrant/fuzz_test.go
+++ b/core/crgrant/fuzz_test.go
@@ -25,6 +25,7 @@
 		a.ComposeDigest(start, b.Self.Name, a.Digest(start, true)),
 		&pb.Report{From: peer(a.Self), Forwarded: true, PassTo: []string{"10.0.0.7:81", "x"}, Digest: a.Digest(start, true)},
 		&pb.Report{From: peer(a.Self), Digest: &pb.Digest{Full: true, FailureDomain: "noord-c", SilentMs: []uint32{1 << 31}, WorkEndpoints: []uint32{7}}},
+		&pb.Report{From: peer(a.Self), Failures: &pb.Failures{Endpoints: []uint32{7, 8}, Failed: []uint32{1 << 31}, Ended: []uint32{0, 1}}},
 		&pb.Snapshot{Endpoints: &pb.Endpoints{Revision: 9, Partial: true, Gone: []string{"e"}}},
 	} {
 		data, err := proto.Marshal(m)
