Take a told reading for as long as it is forecast

Cause: an instance tells others until when at the latest an endpoint reads a prompt, with a margin as long as the reading since forecasts came; they took that for the end and saw a backlog twice as long (889 ms where it is 445), so that requests left holders which would be free in time. Change: the receiver takes the margin off by its own forecast. TestToldReadingEndsOnTime fails on the code before.

--- a/core/crgrant/context.go
+++ b/core/crgrant/context.go
@@ -14,7 +14,10 @@
 	if c.Reading != nil {
 		until = now.Add(c.GetReading().AsDuration())
 		if e := s.placer.Endpoint(crledger.Key(c.GetEndpoint())); e != nil {
-			s.reads.Until(e.Key, until.Add(-s.readSlack(now, e)))
+			// The sender added a margin to the end by its forecast.
+			speed := s.pace.Speed(now, e.Service)
+			reading := speed.Read(s.pace.Slowness(now, e.Key), int(c.GetTokens()))
+			s.reads.Until(e.Key, until.Add(-s.readSlack(now, e)-time.Duration(readMargin*float64(reading))))
 		}
 	}
 	link := crcontext.Link{Chain: c.GetChain(), Tokens: int(c.GetTokens())}
