Give up a silent endpoint only once another one has answered

Cause: an attempt was ended for silence (2.5 s without an event, or a failed probe, which a full or lossy endpoint also causes) before it was known that another endpoint would take the request. When that one refused it, or was silent too, nothing was left. The class of fault is giving up what works before its successor is secured. A reservation in the retry budget was checked before (TestSilenceEndsNothing), but it only says that a try is allowed, not that it succeeds.

Change: crretry.Succession decides when a silent attempt is probed and gets a successor. The attempt goes on beside the successor; the one that is answered later is canceled. A refused successor leaves the attempt alone, which is logged and counted (silent-attempts-kept). Probes no longer hold up the events of their stream.

Evidence: TestSilentStreamIsNotCutWithoutSuccessor fails before (two events of four, cut; in the other rows 502) and passes after, also under the race detector.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -21,6 +21,7 @@
 
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
+	"crocusrack/core/crledger"
 	"crocusrack/core/crroute"
 	"crocusrack/core/crswitch"
 	"crocusrack/io/crhop"
@@ -159,8 +160,10 @@
 	table    *crroute.Table
 	age      time.Duration
 	ageKnown bool
-	// sent counts the attempts that may have reached an endpoint.
-	sent int
+	// sent counts the attempts that are being made or may have reached an endpoint.
+	sent atomic.Int64
+	// tried holds the endpoints of the attempts.
+	tried []crledger.Key
 	// reserved is true while a repeat has been taken from the retry budget but not used.
 	reserved atomic.Bool
 	// reservedBytes is the memory taken from Forwarder.Memory. The first memoryStep of
--- a/io/crforward/metrics.go
+++ b/io/crforward/metrics.go
@@ -30,6 +30,9 @@
 	Ejected expvar.Int
 	// Resumed counts the streams that were resumed at another endpoint.
 	Resumed expvar.Int
+	// Kept counts the attempts at silent endpoints that went on because no other endpoint
+	// took the request.
+	Kept expvar.Int
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -60,6 +63,7 @@
 	out.Set("endpoint-connections-opened", &m.Connections)
 	out.Set("endpoints-ejected", &m.Ejected)
 	out.Set("streams-resumed", &m.Resumed)
+	out.Set("silent-attempts-kept", &m.Kept)
 	out.Set("request-latency-ms", expvar.Func(m.latencies))
 	return out
 }
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -38,38 +38,39 @@
 	ctx, cancel := x.context()
 	defer cancel()
 	x.State.CountRequest(time.Now(), x.service.Name)
-	var tried []crledger.Key
 	unsent := 0
 	// failure is the last answer with a status of 500 or above.
 	var failure *bufferedAnswer
 	// retryAfter is the Retry-After time if no endpoint has run the request.
 	retryAfter := defaultRetryAfter
 	for {
-		if x.sent > 0 && !x.mayRepeat() {
+		if x.sent.Load() > 0 && !x.mayRepeat() {
 			break
 		}
-		grant := x.grant(ctx, tried)
+		grant := x.grant(ctx)
 		if grant.Endpoint == nil {
-			if x.sent == 0 {
+			if x.sent.Load() == 0 {
 				x.refuse(grant.Reason.String(), grant.RetryAfter)
 				return
 			}
 			retryAfter = grant.RetryAfter
 			break
 		}
+		x.trace.attempts++
 		x.trace.recordGrant(grant, time.Since(x.start))
+		x.tried = append(x.tried, grant.Endpoint.Key)
 		result := x.attempt(ctx, grant, x.request.LastEvent)
-		if result.verdict != withdrawn {
-			tried = append(tried, grant.Endpoint.Key)
-		}
 		switch result.verdict {
 		case done:
 			return
 		case notSent, withdrawn:
 			if unsent++; unsent < maxUnsentAttempts && x.keyValid() {
+				if result.verdict == withdrawn {
+					x.tried = slices.DeleteFunc(x.tried, func(k crledger.Key) bool { return k == grant.Endpoint.Key })
+				}
 				continue
 			}
-			if x.sent == 0 {
+			if x.sent.Load() == 0 {
 				x.refuse(unsentReasons[result.verdict], defaultRetryAfter)
 				return
 			}
@@ -104,12 +105,12 @@
 
 // grant asks crgrant for an endpoint. While an endpoint runs the prefill of a long part
 // of the request's prompt for another request, it waits and asks again.
-func (x *exchange) grant(ctx context.Context, tried []crledger.Key) *crgrant.Grant {
+func (x *exchange) grant(ctx context.Context) *crgrant.Grant {
 	asked := time.Now()
 	for {
 		g := x.State.Grant(time.Now(), crgrant.Request{
 			Service: x.service, Route: x.route.Name, Draw: crhash.Of(x.request.ID),
-			Links: x.links, Tried: tried, Target: x.route.Target, SkipPrefillWait: ctx.Err() != nil,
+			Links: x.links, Tried: x.tried, Target: x.route.Target, SkipPrefillWait: ctx.Err() != nil,
 		})
 		if g.PrefillWait <= 0 {
 			x.trace.prefillWait += time.Since(asked)
@@ -121,11 +122,11 @@
 	}
 }
 
-// reserveRepeat reports whether the request may be sent once more after the given number
-// of attempts, and reserves that repeat: it is taken from the retry budget now, and
-// mayRepeat uses the reservation up later. It is safe for concurrent use.
-func (x *exchange) reserveRepeat(attempts int) bool {
-	if !x.reserved.Load() && x.mayRepeatAfter(attempts) && x.State.SpendRetry(time.Now(), x.service.Name) {
+// reserveRepeat reports whether the request may be sent once more, and reserves that
+// repeat: it is taken from the retry budget now, and mayRepeat uses the reservation up
+// later.
+func (x *exchange) reserveRepeat() bool {
+	if !x.reserved.Load() && x.attemptsLeft() && x.State.SpendRetry(time.Now(), x.service.Name) {
 		x.reserved.Store(true)
 	}
 	return x.reserved.Load()
@@ -134,13 +135,12 @@
 // mayRepeat reports whether the request may be sent once more. It uses up the reservation,
 // or else takes the repeat from the retry budget.
 func (x *exchange) mayRepeat() bool {
-	return x.mayRepeatAfter(x.sent) && (x.reserved.CompareAndSwap(true, false) || x.State.SpendRetry(time.Now(), x.service.Name))
+	return x.attemptsLeft() && (x.reserved.CompareAndSwap(true, false) || x.State.SpendRetry(time.Now(), x.service.Name))
 }
 
-// mayRepeatAfter reports whether the route and the deadline allow another attempt after
-// the given number.
-func (x *exchange) mayRepeatAfter(attempts int) bool {
-	return attempts < x.route.MaxAttempts && time.Until(x.deadline) > 0
+// attemptsLeft reports whether the route and the deadline allow another attempt.
+func (x *exchange) attemptsLeft() bool {
+	return int(x.sent.Load()) < x.route.MaxAttempts && time.Until(x.deadline) > 0
 }
 
 // answerFailure answers a request that was sent at least once without success.
@@ -195,7 +195,8 @@
 func (x *exchange) attempt(ctx context.Context, g *crgrant.Grant, lastEvent string) result {
 	waitCtx, cancel := x.limitWait(ctx)
 	defer cancel()
-	answer, err := x.sendWatched(waitCtx, g, lastEvent)
+	answered, err := x.sendWatched(waitCtx, g, lastEvent)
+	g, answer := answered.grant, answered.answer
 	if err != nil {
 		return x.classifyFailure(ctx, g, err)
 	}
@@ -229,15 +230,15 @@
 // limitWait returns a context that bounds the wait for the first attempt of an
 // idempotent request, so that another endpoint can still answer in time.
 func (x *exchange) limitWait(ctx context.Context) (context.Context, context.CancelFunc) {
-	if x.route.Kind != crroute.Idempotent || x.sent > 0 || x.route.MaxAttempts < 2 || x.Disabled.Has(crswitch.EarlyRepeats) {
+	if x.route.Kind != crroute.Idempotent || x.sent.Load() > 0 || x.route.MaxAttempts < 2 || x.Disabled.Has(crswitch.EarlyRepeats) {
 		return context.WithCancel(ctx)
 	}
 	delay := time.Duration(earlyRepeatTargets * float64(x.route.Target))
 	return context.WithTimeout(ctx, max(delay, minEarlyRepeatDelay))
 }
 
-// send makes one attempt at the endpoint of a grant and counts it if the request may
-// have been sent.
+// send makes one attempt at the endpoint of a grant. While it lasts, and afterwards if the
+// request may have been sent, the attempt counts as sent.
 func (x *exchange) send(ctx context.Context, g *crgrant.Grant, lastEvent string) (*crhop.Answer, error) {
 	header := x.request.Header.Clone()
 	attempt := Attempt{
@@ -254,6 +255,7 @@
 		attempt.ContextSource = g.Source.Address
 	}
 	x.Codec.Encode(header, attempt)
+	x.sent.Add(1)
 	answer, err := x.Client.Send(ctx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, &crhop.Request{
 		Method: x.incoming.Method,
 		Target: x.incoming.RequestURI,
@@ -267,8 +269,8 @@
 		Allowed: func() bool { return g.Valid(time.Now()) && x.keyValid() },
 	})
 	var failure *crhop.Error
-	if !errors.As(err, &failure) || failure.Sent {
-		x.sent++
+	if errors.As(err, &failure) && !failure.Sent {
+		x.sent.Add(-1)
 	}
 	if err == nil {
 		x.applyEndpointHints(g, answer)
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -3,93 +3,229 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"sync/atomic"
 	"time"
 
 	"crocusrack/core/crgrant"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crretry"
 	"crocusrack/io/crhop"
 )
 
-// errStalled means that the attempt was given up because its endpoint was silent. check
-// wraps it if the endpoint took no connections either.
-var errStalled = errors.New("the stream stalled")
-
-// sendWatched sends a request and cancels the wait for its answer by the same rules as
-// for a stream without events (see check).
-func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string) (*crhop.Answer, error) {
-	monitor := x.newStallMonitor(g, x.sent+1)
-	ctx, cancel := context.WithCancelCause(ctx)
-	var answered atomic.Bool
-	done := make(chan struct{})
+var (
+	// errStalled is the failure of an attempt at a silent endpoint whose successor has
+	// answered.
+	errStalled = errors.New("the stream stalled")
+	// errSuperseded cancels a successor that isn't needed any more.
+	errSuperseded = errors.New("the first attempt went on")
+)
+
+// attemptAnswer is an answer and the grant of the attempt that got it.
+type attemptAnswer struct {
+	grant  *crgrant.Grant
+	answer *crhop.Answer
+}
+
+// sendWatched sends a request and returns the first answer. While the endpoint is silent,
+// a successor may be sent to another endpoint; the attempt that is answered later is
+// canceled. The returned grant is that of the answer, or the given one if there is an
+// error.
+func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string) (attemptAnswer, error) {
+	type sent struct {
+		answer *crhop.Answer
+		err    error
+	}
+	sendCtx, cancel := context.WithCancelCause(ctx)
+	first := make(chan sent, 1)
 	go func() {
-		timer := time.NewTimer(firstStallCheck)
-		defer timer.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-timer.C:
+		answer, err := x.send(sendCtx, g, lastEvent)
+		first <- sent{answer, err}
+	}()
+	m := x.newStallMonitor(g, firstStallCheck)
+	m.abandon = cancel
+	defer m.stop()
+	for {
+		select {
+		case s := <-first:
+			if s.err == nil {
+				return attemptAnswer{g, s.answer}, nil
 			}
-			next, err := monitor.check(ctx)
-			if err != nil && !answered.Load() {
-				cancel(err)
-				return
+			m.abandon(nil)
+			if next := m.await(); next != nil {
+				x.classifyFailure(ctx, g, s.err)
+				return *next, nil
 			}
-			timer.Reset(max(next, stallCheckInterval))
+			return attemptAnswer{grant: g}, s.err
+		case <-m.timer.C:
+			m.silent(ctx, lastEvent)
+		case p := <-m.pursuits:
+			next := m.pursued(ctx, p, lastEvent)
+			if next == nil {
+				continue
+			}
+			m.abandon(errStalled)
+			if s := <-first; s.answer != nil {
+				s.answer.Close()
+			}
+			x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: errStalled})
+			return *next, nil
 		}
-	}()
-	answer, err := x.send(ctx, g, lastEvent)
-	answered.Store(true)
-	close(done)
-	if err != nil {
-		cancel(nil)
 	}
-	return answer, err
-}
-
-// newStallMonitor returns a stallMonitor for the endpoint of a grant. The number of
-// attempts includes this one.
-func (x *exchange) newStallMonitor(g *crgrant.Grant, attempts int) *stallMonitor {
-	return &stallMonitor{exchange: x, endpoint: crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, attempts: attempts}
 }
 
-// stallMonitor decides when to give up an attempt whose endpoint is silent.
+// stallMonitor watches an attempt at an endpoint that may be silent, and sends its
+// successor. It must be stopped.
 type stallMonitor struct {
 	*exchange
-	endpoint crhop.Endpoint
-	// attempts counts the attempts of the request, including the monitored one.
-	attempts int
-	// silence approximates the time since the last complete event: each call of check
-	// adds stallCheckInterval.
-	silence time.Duration
-	// probed is true if the endpoint was probed since the last complete event.
-	probed bool
+	succession crretry.Succession
+	endpoint   crhop.Endpoint
+	// timer fires after each interval of silence.
+	timer *time.Timer
+	// pursuits receives the result of the pending probe or successor. It is nil while
+	// there is none.
+	pursuits chan pursuit
+	// cancel cancels the pending probe or successor, and abandon the attempt while it has
+	// no answer.
+	cancel, abandon context.CancelCauseFunc
 }
 
-// reset records a complete event. Parts of an event don't count, because bytes alone
-// don't show progress.
-func (m *stallMonitor) reset() { m.silence, m.probed = 0, false }
-
-// check is called after each interval of silence. It returns the time until the next
-// call, or an error if the attempt is to be given up. That is the case if the endpoint
-// accepts no connections, or, on a resumable route only, if it sent no complete event
-// for too long. In both cases the route must be repeatable, and its attempt limit, the
-// deadline and the retry budget must allow another attempt. A request that may run only
-// once is never given up because of silence.
-func (m *stallMonitor) check(ctx context.Context) (time.Duration, error) {
-	if !m.route.Repeatable() {
-		return stallCheckInterval, nil
+// pursuit is the result of a probe or of a successor. The successor is nil if no endpoint
+// took the request.
+type pursuit struct {
+	probe     bool
+	probeErr  error
+	successor *attemptAnswer
+}
+
+// newStallMonitor returns the monitor of an attempt. The first check is made after the
+// given silence.
+func (x *exchange) newStallMonitor(g *crgrant.Grant, firstCheck time.Duration) *stallMonitor {
+	return &stallMonitor{
+		exchange: x,
+		succession: crretry.Succession{
+			Repeatable: x.route.Repeatable(),
+			Resumable:  x.route.Resumable,
+			MaxSilence: max(minStallTimeout, stallTimeoutGaps*x.route.MaxEventGap),
+			Reserve:    x.reserveRepeat,
+		},
+		endpoint: crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address},
+		timer:    time.NewTimer(firstCheck),
 	}
-	m.silence += stallCheckInterval
-	if !m.probed {
-		m.probed = true
-		if err := m.Client.Probe(ctx, m.endpoint); err != nil && ctx.Err() == nil && m.reserveRepeat(m.attempts) {
-			return 0, fmt.Errorf("%w, and its endpoint takes no connections: %w", errStalled, err)
-		}
+}
+
+// progress records a complete event. Parts of an event don't count, because bytes alone
+// don't show progress. A pending successor is canceled.
+func (m *stallMonitor) progress() {
+	m.discard()
+	m.succession.Progress()
+	m.timer.Reset(stallCheckInterval)
+}
+
+// stop ends the monitor and cancels a pending successor.
+func (m *stallMonitor) stop() {
+	m.timer.Stop()
+	m.discard()
+}
+
+// discard cancels a pending probe or successor.
+func (m *stallMonitor) discard() {
+	if m.pursuits == nil {
+		return
+	}
+	m.cancel(errSuperseded)
+	if next := m.await(); next != nil {
+		next.answer.Close()
+		next.grant.Drop(time.Now())
+	}
+}
+
+// await waits for the pending pursuit, if any, and returns the successor's answer or nil.
+func (m *stallMonitor) await() *attemptAnswer {
+	if m.pursuits == nil {
+		return nil
 	}
-	if m.silence >= max(minStallTimeout, stallTimeoutGaps*m.route.MaxEventGap) && m.route.Resumable && m.reserveRepeat(m.attempts) {
-		return 0, errStalled
+	p := <-m.pursuits
+	m.pursuits = nil
+	return p.successor
+}
+
+// silent is called when the timer fires. The parameter lastEvent is the id of the last
+// event that the caller has.
+func (m *stallMonitor) silent(ctx context.Context, lastEvent string) {
+	m.timer.Reset(stallCheckInterval)
+	m.take(ctx, m.succession.Silent(stallCheckInterval), lastEvent)
+}
+
+// pursued takes the result of a probe or successor. It returns the answer of a successor
+// that has one.
+func (m *stallMonitor) pursued(ctx context.Context, p pursuit, lastEvent string) *attemptAnswer {
+	m.pursuits = nil
+	switch {
+	case p.probe:
+		m.take(ctx, m.succession.Probed(p.probeErr == nil), lastEvent)
+	case p.successor == nil:
+		m.succession.Refused()
+		m.logKept()
+	}
+	return p.successor
+}
+
+// take starts what a step of the succession asks for.
+func (m *stallMonitor) take(ctx context.Context, step crretry.Step, lastEvent string) {
+	if step == crretry.Wait {
+		return
+	}
+	ctx, m.cancel = context.WithCancelCause(ctx)
+	// The buffer lets the goroutine end if nobody waits for the result.
+	pursuits := make(chan pursuit, 1)
+	m.pursuits = pursuits
+	go func() {
+		if step == crretry.Probe {
+			err := m.Client.Probe(ctx, m.endpoint)
+			pursuits <- pursuit{probe: true, probeErr: err}
+			return
+		}
+		pursuits <- pursuit{successor: m.replace(ctx, lastEvent)}
+	}()
+}
+
+// replace sends the request to another endpoint, to continue after the given event. It
+// returns nil if that isn't allowed or no endpoint takes it.
+func (x *exchange) replace(ctx context.Context, lastEvent string) *attemptAnswer {
+	for unsent := 0; unsent < maxUnsentAttempts && x.mayRepeat(); unsent++ {
+		g := x.grant(ctx)
+		if g.Endpoint == nil {
+			return nil
+		}
+		x.tried = append(x.tried, g.Endpoint.Key)
+		x.trace.attempts++
+		answer, err := x.send(ctx, g, lastEvent)
+		if err != nil {
+			if errors.Is(context.Cause(ctx), errSuperseded) {
+				g.Drop(time.Now())
+				return nil
+			}
+			if x.classifyFailure(ctx, g, err).verdict == unknown {
+				x.trace.mayHaveRun = true
+			}
+			if !x.keyValid() {
+				return nil
+			}
+			continue
+		}
+		if x.spurious(answer) {
+			answer.Close()
+			x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: errSpurious})
+			x.trace.mayHaveRun = true
+			continue
+		}
+		if answer.Status >= 300 || x.Codec.NotRun(answer.Status, answer.Header) {
+			answer.Close()
+			x.endGrant(g, crhealth.Refused)
+			continue
+		}
+		x.trace.recordGrant(g, time.Since(x.start))
+		x.logResumed(g, lastEvent)
+		return &attemptAnswer{g, answer}
 	}
-	return stallCheckInterval, nil
+	return nil
 }
--- /dev/null
+++ b/io/crforward/stall_test.go
@@ -0,0 +1,69 @@
+package crforward_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestSilentStreamIsNotCutWithoutSuccessor checks a stream whose endpoint pauses, before
+// its first event or between events, while no other endpoint takes the request.
+func TestSilentStreamIsNotCutWithoutSuccessor(t *testing.T) {
+	pauses := func(before, between time.Duration) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for i := range 4 {
+				time.Sleep(before)
+				_, _ = io.WriteString(w, eventText(i+1, i+1))
+				_ = http.NewResponseController(w).Flush()
+				before = between
+			}
+		}
+	}
+	for _, c := range []struct {
+		name      string
+		endpoint  http.HandlerFunc
+		successor http.HandlerFunc
+		// probes is false if new connections to the first endpoint fail.
+		probes bool
+	}{
+		{"pauses between events, refused elsewhere", pauses(0, 2800*time.Millisecond), refuse, true},
+		{"pauses between events, silent elsewhere", pauses(0, 2800*time.Millisecond), silentHandler, true},
+		{"takes no connections, refused elsewhere", pauses(0, 1200*time.Millisecond), refuse, false},
+		{"pauses before its answer, refused elsewhere", pauses(4*time.Second, 0), refuse, true},
+		{"takes no connections before its answer, refused elsewhere", pauses(1500*time.Millisecond, 0), refuse, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var arrived atomic.Int64
+			either := func(w http.ResponseWriter, q *http.Request) {
+				if arrived.Add(1) == 1 {
+					c.endpoint(w, q)
+					return
+				}
+				c.successor(w, q)
+			}
+			runFixture(t, func(r *fixture) {
+				var dials atomic.Int64
+				r.dialing = func() error {
+					if dials.Add(1) == 2 && !c.probes {
+						return errors.New("the endpoint has no room for connections")
+					}
+					return nil
+				}
+				r.forwarder.MaxKeyAge = time.Hour
+				got, _ := r.send(r.t.Context(), "/draft/", "", "Deadline", "20s")
+				if diff := cmp.Diff(answer{200, eventText(1, 4), false}, got); diff != "" {
+					t.Errorf("arrivals %q (-want +got):\n%s", r.arrivals, diff)
+				}
+				// Wait until the endpoints notice that their callers have disconnected.
+				time.Sleep(5 * time.Second)
+			}, either, either)
+		})
+	}
+}
+
+func silentHandler(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -10,7 +10,6 @@
 
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crhealth"
-	"crocusrack/core/crledger"
 	"crocusrack/core/crstream"
 	"crocusrack/core/crswitch"
 	"crocusrack/io/crhop"
@@ -31,9 +30,9 @@
 	// coalesceGapShare is the upper bound of that wait, as a share of the route's MaxEventGap,
 	// the pause between events that the route allows.
 	coalesceGapShare = 0.25
-	// A stream without a complete event is resumed at another endpoint after the larger
-	// of minStallTimeout and stallTimeoutGaps times the route's MaxEventGap, even if its
-	// endpoint accepts connections.
+	// A stream without a complete event gets a successor at another endpoint after the
+	// larger of minStallTimeout and stallTimeoutGaps times the route's MaxEventGap, even if
+	// its endpoint accepts connections.
 	minStallTimeout  = 2500 * time.Millisecond
 	stallTimeoutGaps = 3
 )
@@ -47,17 +46,20 @@
 			s.splitter.SetLast(id)
 		}
 	}
-	tried := []crledger.Key{g.Endpoint.Key}
 	for {
-		err := s.copy(ctx, g, answer)
+		next, err := s.copy(ctx, g, answer)
 		answer.Close()
-		if err == nil {
+		if err == nil && next == nil {
 			x.endGrant(g, crhealth.Good)
 			x.trace.recordEnd(answer.Status, "answered", nil)
 			return result{verdict: done}
 		}
 		if s.writeErr != nil || x.incoming.Context().Err() != nil {
 			g.Drop(time.Now())
+			if next != nil {
+				next.answer.Close()
+				next.grant.Drop(time.Now())
+			}
 			x.abort("caller-left", s.writeErr)
 		}
 		x.trace.lastErr = err
@@ -67,12 +69,15 @@
 			x.endGrant(g, crhealth.Broken)
 		}
 		s.splitter.Rest()
-		if !s.started {
-			return result{verdict: unknown}
-		}
-		if g, answer = x.resume(ctx, s, &tried); answer == nil {
-			x.abort("stream-cut", err)
+		if next == nil {
+			if !s.started {
+				return result{verdict: unknown}
+			}
+			if next = x.resume(ctx, s.lastEvent()); next == nil {
+				x.abort("stream-cut", err)
+			}
 		}
+		g, answer = next.grant, next.answer
 	}
 }
 
@@ -92,43 +97,11 @@
 
 // resume sends the request of a broken stream to another endpoint, to continue after the
 // last event. It returns nil if that isn't allowed or no endpoint takes it.
-func (x *exchange) resume(ctx context.Context, s *streamCopier, tried *[]crledger.Key) (*crgrant.Grant, *crhop.Answer) {
+func (x *exchange) resume(ctx context.Context, lastEvent string) *attemptAnswer {
 	if !x.route.Resumable || x.Disabled.Has(crswitch.StreamResume) {
-		return nil, nil
-	}
-	for unsent := 0; unsent < maxUnsentAttempts && x.mayRepeat(); unsent++ {
-		g := x.grant(ctx, *tried)
-		if g.Endpoint == nil {
-			return nil, nil
-		}
-		*tried = append(*tried, g.Endpoint.Key)
-		x.trace.recordGrant(g, time.Since(x.start))
-		last := ""
-		if id, ok := s.splitter.Last(); ok {
-			last = strconv.FormatUint(id, 10)
-		}
-		answer, err := x.sendWatched(ctx, g, last)
-		if err != nil {
-			x.classifyFailure(ctx, g, err)
-			if !x.keyValid() {
-				return nil, nil
-			}
-			continue
-		}
-		if x.spurious(answer) {
-			answer.Close()
-			x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: errSpurious})
-			continue
-		}
-		if answer.Status >= 300 || x.Codec.NotRun(answer.Status, answer.Header) {
-			answer.Close()
-			x.endGrant(g, crhealth.Refused)
-			continue
-		}
-		x.logResumed(g, last)
-		return g, answer
+		return nil
 	}
-	return nil, nil
+	return x.replace(ctx, lastEvent)
 }
 
 // streamCopier copies the events of one caller's stream, which may come from several
@@ -151,40 +124,47 @@
 	err  error
 }
 
-// copy passes on events until the answer ends. Its error says why the answer broke off;
-// writeErr is also set if a write to the caller failed.
-func (s *streamCopier) copy(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) error {
+// lastEvent returns the id of the last event that the caller has, or the empty string.
+func (s *streamCopier) lastEvent() string {
+	if id, ok := s.splitter.Last(); ok {
+		return strconv.FormatUint(id, 10)
+	}
+	return ""
+}
+
+// copy passes on events until the answer ends or a successor has an answer, which it
+// returns. Its error says why the answer broke off; writeErr is also set if a write to the
+// caller failed.
+func (s *streamCopier) copy(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) (*attemptAnswer, error) {
 	chunks := make(chan chunk)
 	ended := make(chan struct{})
 	defer close(ended)
 	go readChunks(answer.Body, chunks, ended)
-	monitor := s.newStallMonitor(g, s.sent)
-	silence := time.NewTimer(firstStallCheck)
-	defer silence.Stop()
+	monitor := s.newStallMonitor(g, firstStallCheck)
+	defer monitor.stop()
 	flushTimer, interval := time.NewTimer(0), s.coalesceInterval()
 	defer flushTimer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return context.Cause(ctx)
+			return nil, context.Cause(ctx)
 		case <-flushTimer.C:
 			if err := s.flush(answer); err != nil {
-				return err
+				return nil, err
 			}
-		case <-silence.C:
-			next, err := monitor.check(ctx)
-			if err != nil {
-				return err
+		case <-monitor.timer.C:
+			monitor.silent(ctx, s.lastEvent())
+		case p := <-monitor.pursuits:
+			if next := monitor.pursued(ctx, p, s.lastEvent()); next != nil {
+				return next, errors.Join(errStalled, s.flush(answer))
 			}
-			silence.Reset(next)
 		case c := <-chunks:
 			if len(c.data) > 0 {
 				g.MarkRead(time.Now())
 			}
 			events, err := s.splitter.Write(c.data)
 			if len(events) > 0 {
-				monitor.reset()
-				silence.Reset(stallCheckInterval)
+				monitor.progress()
 			}
 			s.pending = append(s.pending, events...)
 			if err == nil && !s.reserveMemory(s.splitter.Len()) {
@@ -192,17 +172,17 @@
 			}
 			switch {
 			case err != nil:
-				return errors.Join(err, s.flush(answer))
+				return nil, errors.Join(err, s.flush(answer))
 			case c.err == io.EOF:
 				// This also writes the header of an answer without events.
-				return s.write(answer, append(s.pending, s.splitter.Rest()...))
+				return nil, s.write(answer, append(s.pending, s.splitter.Rest()...))
 			case c.err != nil:
-				return errors.Join(c.err, s.flush(answer))
+				return nil, errors.Join(c.err, s.flush(answer))
 			}
 			if wait := time.Until(s.lastWrite.Add(interval)); wait > 0 {
 				flushTimer.Reset(wait)
 			} else if err := s.flush(answer); err != nil {
-				return err
+				return nil, err
 			}
 		}
 	}
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -41,9 +41,9 @@
 	headerAt time.Time
 }
 
-// recordGrant records a grant and the time since the request's arrival.
+// recordGrant records the grant of the attempt that is waited for and the time since the
+// request's arrival.
 func (t *trace) recordGrant(g *crgrant.Grant, after time.Duration) {
-	t.attempts++
 	t.grant, t.grantDelay = g, after
 }
 
@@ -166,6 +166,16 @@
 		zap.Duration("asked-ms", asked), zap.Duration("applied-ms", applied))
 }
 
+// logKept counts and logs that an attempt at a silent endpoint goes on because no other
+// endpoint took the request.
+func (m *stallMonitor) logKept() {
+	m.Metrics.Kept.Add(1)
+	m.Log.Info("entry: no other endpoint took the request of a silent one, which is kept",
+		zap.String("request", m.request.ID),
+		zap.String("endpoint", m.endpoint.Address.String()),
+		zap.NamedError("last-failure", m.trace.lastErr))
+}
+
 // logResumed counts and logs that a stream continues at another endpoint.
 func (x *exchange) logResumed(g *crgrant.Grant, last string) {
 	x.trace.resumed++
