Answer the requests that are read while a daemon ends its stop

Callers saw a connection closed without an answer, though their request had been read and sent to an endpoint: LOST around planned work.

Cause: a leaving daemon ends once it has seen no request for 1.2 s, looked at every 50 ms. Between the last look and the close of the listener it still took requests of kept connections, and http.Server.Close cut them.

Change: the front is shut down instead: connections without a request are closed, the others after their answer, at the latest when the stop's time is over.

Evidence: TestRequestReadAsServerStopsIsAnswered fails with Close (from 20 ms before the stop on: the handler ran and the caller got nothing) and passes with Shutdown.

--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -125,7 +125,9 @@
 	select {
 	case <-ctx.Done():
 	case <-r.stop:
-		r.leave(ctx)
+		stopAt := r.leave(ctx)
+		// The front comes first in the list.
+		stopServing(servers[0], stopAt)
 	}
 	cancel()
 	for _, s := range servers {
@@ -313,8 +315,8 @@
 
 // leave sends callers elsewhere and waits for the requests. Kept connections
 // are served until their callers have had the time to hear of other addresses,
-// and are asked to close then.
-func (r *Router) leave(ctx context.Context) {
+// and are asked to close then. leave returns when the process must end.
+func (r *Router) leave(ctx context.Context) (stopAt time.Time) {
 	r.leaving.Store(true)
 	r.state.SetSelf(func(s *crliveness.Status) { s.Ready, s.Leaving = false, true })
 	r.link.ReportChangeNow()
@@ -323,7 +325,7 @@
 	start := time.Now()
 	_ = crbackoff.Sleep(ctx, time.Duration(closingShare*float64(limit)))
 	r.closing.Store(true)
-	stopAt := start.Add(limit - stopMargin)
+	stopAt = start.Add(limit - stopMargin)
 	r.stopAt.Store(&stopAt)
 	quiet := time.Time{}
 	for time.Now().Before(stopAt) && ctx.Err() == nil {
@@ -340,6 +342,7 @@
 		}
 	}
 	r.Log.Info("daemon: left", zap.Int64("requests-in-flight", r.Metrics.InFlight.Value()), zap.Duration("after-ms", time.Since(start)))
+	return stopAt
 }
 
 // quietBeforeStop is how long no request may have come before the process ends:
