Use the answer of a successor in all cases

Callers saw a stream cut, or 502, although the successor of their silent endpoint answered; and a long answer cut in the middle.

Cause: a stream that broke off canceled its pending successor, whose attempt was then used up. Before an answer, a successor was bound by the first attempt's wait limit, and its answer was dropped if its status wasn't a success. The wait limit of an idempotent request (2.5 times its target) also ended the body of an answer that had begun: that one is older than the successors.

Change: a stream that breaks off waits for its pending successor. The wait limit applies to the first attempt until it is answered. Before an answer, a successor's 3xx and 4xx are passed on, and a 5xx is kept for the case that the silent endpoint doesn't answer.

The rows of TestSuccessorsAnswerIsUsed and TestLongAnswerIsNotCutByEarlyRepeat fail before (cut after event 1, 502, 502, 502, 298304 of 400000 bytes) and pass after, also under the race detector.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -164,6 +164,8 @@
 	sent atomic.Int64
 	// tried holds the endpoints of the attempts.
 	tried []crledger.Key
+	// failure is the last answer with a status of 500 or above.
+	failure *bufferedAnswer
 	// reserved is true while a repeat has been taken from the retry budget but not used.
 	reserved atomic.Bool
 	// reservedBytes is the memory taken from Forwarder.Memory. The first memoryStep of
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -39,8 +39,6 @@
 	defer cancel()
 	x.State.CountRequest(time.Now(), x.service.Name)
 	unsent := 0
-	// failure is the last answer with a status of 500 or above.
-	var failure *bufferedAnswer
 	// retryAfter is the Retry-After time if no endpoint has run the request.
 	retryAfter := defaultRetryAfter
 	for {
@@ -79,7 +77,7 @@
 			continue
 		case failed:
 			x.trace.mayHaveRun = true
-			failure = result.answer
+			x.failure = result.answer
 			if x.route.Kind == crroute.Idempotent {
 				continue
 			}
@@ -91,7 +89,7 @@
 		}
 		break
 	}
-	x.answerFailure(ctx, failure, retryAfter)
+	x.answerFailure(ctx, retryAfter)
 }
 
 // unsentReasons maps a verdict to the outcome of a request that was sent to no endpoint.
@@ -144,12 +142,12 @@
 }
 
 // answerFailure answers a request that was sent at least once without success.
-func (x *exchange) answerFailure(ctx context.Context, failure *bufferedAnswer, retryAfter time.Duration) {
+func (x *exchange) answerFailure(ctx context.Context, retryAfter time.Duration) {
 	switch {
 	case x.incoming.Context().Err() != nil:
 		x.trace.recordEnd(0, "caller-left", nil)
-	case failure != nil:
-		x.writeAnswer(failure)
+	case x.failure != nil:
+		x.writeAnswer(x.failure)
 	case !x.trace.mayHaveRun:
 		x.refuse("endpoints-refused", retryAfter)
 	case ctx.Err() != nil:
@@ -193,9 +191,7 @@
 
 // attempt sends the request to the endpoint of a grant and handles the answer.
 func (x *exchange) attempt(ctx context.Context, g *crgrant.Grant, lastEvent string) result {
-	waitCtx, cancel := x.limitWait(ctx)
-	defer cancel()
-	answered, err := x.sendWatched(waitCtx, g, lastEvent)
+	answered, err := x.sendWatched(ctx, g, lastEvent, x.waitLimit())
 	g, answer := answered.grant, answered.answer
 	if err != nil {
 		return x.classifyFailure(ctx, g, err)
@@ -227,14 +223,13 @@
 	return answer.Status < http.StatusMultipleChoices && !x.Codec.Genuine(answer.Header)
 }
 
-// limitWait returns a context that bounds the wait for the first attempt of an
-// idempotent request, so that another endpoint can still answer in time.
-func (x *exchange) limitWait(ctx context.Context) (context.Context, context.CancelFunc) {
+// waitLimit returns the longest wait for the answer to the first attempt of an idempotent
+// request, so that another endpoint can still answer in time. Zero means no limit.
+func (x *exchange) waitLimit() time.Duration {
 	if x.route.Kind != crroute.Idempotent || x.sent.Load() > 0 || x.route.MaxAttempts < 2 || x.Disabled.Has(crswitch.EarlyRepeats) {
-		return context.WithCancel(ctx)
+		return 0
 	}
-	delay := time.Duration(earlyRepeatTargets * float64(x.route.Target))
-	return context.WithTimeout(ctx, max(delay, minEarlyRepeatDelay))
+	return max(time.Duration(earlyRepeatTargets*float64(x.route.Target)), minEarlyRepeatDelay)
 }
 
 // send makes one attempt at the endpoint of a grant. While it lasts, and afterwards if the
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -28,8 +28,9 @@
 // sendWatched sends a request and returns the first answer. While the endpoint is silent,
 // a successor may be sent to another endpoint; the attempt that is answered later is
 // canceled. The returned grant is that of the answer, or the given one if there is an
-// error.
-func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string) (attemptAnswer, error) {
+// error. The limit bounds the wait for the first answer, but neither that for a successor's
+// nor the reading of a body; zero means no limit.
+func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string, limit time.Duration) (attemptAnswer, error) {
 	type sent struct {
 		answer *crhop.Answer
 		err    error
@@ -43,12 +44,22 @@
 	m := x.newStallMonitor(g, firstStallCheck)
 	m.abandon = cancel
 	defer m.stop()
+	var overdue <-chan time.Time
+	if limit > 0 {
+		overdue = time.After(limit)
+	}
 	for {
 		select {
+		case <-overdue:
+			cancel(context.DeadlineExceeded)
 		case s := <-first:
-			if s.err == nil {
+			if s.err == nil && context.Cause(sendCtx) == nil {
 				return attemptAnswer{g, s.answer}, nil
 			}
+			if s.err == nil {
+				s.answer.Close()
+				s.err = &crhop.Error{Sent: true, Cause: context.Cause(sendCtx)}
+			}
 			m.abandon(nil)
 			if next := m.await(); next != nil {
 				x.classifyFailure(ctx, g, s.err)
@@ -83,6 +94,8 @@
 	// pursuits receives the result of the pending probe or successor. It is nil while
 	// there is none.
 	pursuits chan pursuit
+	// probing is true while a probe is pending.
+	probing bool
 	// cancel cancels the pending probe or successor, and abandon the attempt while it has
 	// no answer.
 	cancel, abandon context.CancelCauseFunc
@@ -138,11 +151,15 @@
 	}
 }
 
-// await waits for the pending pursuit, if any, and returns the successor's answer or nil.
+// await waits for the pending successor, if any, and returns its answer or nil. A pending
+// probe is canceled.
 func (m *stallMonitor) await() *attemptAnswer {
 	if m.pursuits == nil {
 		return nil
 	}
+	if m.probing {
+		m.cancel(errSuperseded)
+	}
 	p := <-m.pursuits
 	m.pursuits = nil
 	return p.successor
@@ -175,6 +192,7 @@
 		return
 	}
 	ctx, m.cancel = context.WithCancelCause(ctx)
+	m.probing = step == crretry.Probe
 	// The buffer lets the goroutine end if nobody waits for the result.
 	pursuits := make(chan pursuit, 1)
 	m.pursuits = pursuits
@@ -184,13 +202,15 @@
 			pursuits <- pursuit{probe: true, probeErr: err}
 			return
 		}
-		pursuits <- pursuit{successor: m.replace(ctx, lastEvent)}
+		pursuits <- pursuit{successor: m.replace(ctx, lastEvent, m.abandon != nil)}
 	}()
 }
 
 // replace sends the request to another endpoint, to continue after the given event. It
-// returns nil if that isn't allowed or no endpoint takes it.
-func (x *exchange) replace(ctx context.Context, lastEvent string) *attemptAnswer {
+// returns nil if that isn't allowed or no endpoint takes it. If unanswered is true, the
+// caller has no part of an answer yet, so that one with any status below 500 is returned
+// and one above is kept as the failure to report.
+func (x *exchange) replace(ctx context.Context, lastEvent string, unanswered bool) *attemptAnswer {
 	for unsent := 0; unsent < maxUnsentAttempts && x.mayRepeat(); unsent++ {
 		g := x.grant(ctx)
 		if g.Endpoint == nil {
@@ -218,7 +238,12 @@
 			x.trace.mayHaveRun = true
 			continue
 		}
-		if answer.Status >= 300 || x.Codec.NotRun(answer.Status, answer.Header) {
+		notRun := x.Codec.NotRun(answer.Status, answer.Header)
+		if unanswered && !notRun && answer.Status >= 500 {
+			x.keepFailure(ctx, g, answer)
+			continue
+		}
+		if notRun || !unanswered && answer.Status >= 300 {
 			answer.Close()
 			x.endGrant(g, crhealth.Refused)
 			continue
@@ -229,3 +254,20 @@
 	}
 	return nil
 }
+
+// keepFailure reads an answer with a status of 500 or above, which the caller gets if no
+// other attempt is answered.
+func (x *exchange) keepFailure(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) {
+	defer answer.Close()
+	x.trace.mayHaveRun = true
+	body, more, err := x.readBuffered(answer)
+	if err == nil && more {
+		err = errTooLong
+	}
+	if err != nil {
+		x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: err})
+		return
+	}
+	x.failure = &bufferedAnswer{answer.Status, answer.Header, body}
+	x.endGrant(g, crhealth.Failed)
+}
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -101,7 +101,7 @@
 	if !x.route.Resumable || x.Disabled.Has(crswitch.StreamResume) {
 		return nil
 	}
-	return x.replace(ctx, lastEvent)
+	return x.replace(ctx, lastEvent, false)
 }
 
 // streamCopier copies the events of one caller's stream, which may come from several
@@ -133,7 +133,7 @@
 }
 
 // copy passes on events until the answer ends or a successor has an answer, which it
-// returns. Its error says why the answer broke off; writeErr is also set if a write to the
+// returns. If the answer breaks off while a successor is pending, copy waits for that one. Its error says why the answer broke off; writeErr is also set if a write to the
 // caller failed.
 func (s *streamCopier) copy(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) (*attemptAnswer, error) {
 	chunks := make(chan chunk)
@@ -172,12 +172,14 @@
 			}
 			switch {
 			case err != nil:
-				return nil, errors.Join(err, s.flush(answer))
+				err = errors.Join(err, s.flush(answer))
+				return monitor.await(), err
 			case c.err == io.EOF:
 				// This also writes the header of an answer without events.
 				return nil, s.write(answer, append(s.pending, s.splitter.Rest()...))
 			case c.err != nil:
-				return nil, errors.Join(c.err, s.flush(answer))
+				err = errors.Join(c.err, s.flush(answer))
+				return monitor.await(), err
 			}
 			if wait := time.Until(s.lastWrite.Add(interval)); wait > 0 {
 				flushTimer.Reset(wait)
