Take a successor for answered only once its body has begun

Callers saw a stream cut when its silent endpoint was given up for one that sent a header and then nothing, or broke off; and repeats ran out for others while streams were silent.

Cause: a header alone counted as the successor's answer. A repeat was taken from the retry budget before an endpoint was looked for, and again after each further silence.

Change: a stream's successor has answered when the first byte of its body is there. A repeat that sent nothing stays reserved for the request, and the silence before the next successor doubles.

Two rows of TestSilentStreamIsNotCutWithoutSuccessor fail before and pass after; TestSilentStreamsLeaveRetryBudget keeps the budget within one repeat.

--- a/core/crretry/succession.go
+++ b/core/crretry/succession.go
@@ -27,7 +27,7 @@
 	// the attempt gets one only if its endpoint accepts no connections.
 	Resumable bool
 	// MaxSilence is the silence after which a successor is sent even if the endpoint accepts
-	// connections.
+	// connections. It doubles each time that no endpoint takes the successor.
 	MaxSilence time.Duration
 	// Reserve reserves another attempt. It returns false if the limits on attempts don't
 	// allow one.
@@ -72,7 +72,7 @@
 }
 
 // Refused records that no endpoint took the successor.
-func (s *Succession) Refused() { s.pending, s.silence = false, 0 }
+func (s *Succession) Refused() { s.pending, s.silence, s.MaxSilence = false, 0, 2*s.MaxSilence }
 
 func (s *Succession) succeed() Step {
 	if !s.Reserve() {
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -1,13 +1,16 @@
 package crforward
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crretry"
+	"crocusrack/core/crroute"
 	"crocusrack/io/crhop"
 )
 
@@ -214,6 +217,8 @@
 	for unsent := 0; unsent < maxUnsentAttempts && x.mayRepeat(); unsent++ {
 		g := x.grant(ctx)
 		if g.Endpoint == nil {
+			// Nothing was sent, so the repeat is kept for a later attempt.
+			x.reserved.Store(true)
 			return nil
 		}
 		x.tried = append(x.tried, g.Endpoint.Key)
@@ -248,6 +253,18 @@
 			x.endGrant(g, crhealth.Refused)
 			continue
 		}
+		if answer.Status < 300 && x.route.Kind == crroute.Stream {
+			if err := awaitBody(answer); err != nil {
+				answer.Close()
+				x.trace.mayHaveRun = true
+				if errors.Is(context.Cause(ctx), errSuperseded) {
+					g.Drop(time.Now())
+					return nil
+				}
+				x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: err})
+				continue
+			}
+		}
 		x.trace.recordGrant(g, time.Since(x.start))
 		x.logResumed(g, lastEvent)
 		return &attemptAnswer{g, answer}
@@ -255,6 +272,17 @@
 	return nil
 }
 
+// awaitBody waits for the first byte of an answer's body, or its end. A header alone doesn't
+// show that the endpoint makes progress.
+func awaitBody(answer *crhop.Answer) error {
+	reader := bufio.NewReaderSize(answer.Body, streamBuffer)
+	answer.Body = reader
+	if _, err := reader.Peek(1); err != io.EOF {
+		return err
+	}
+	return nil
+}
+
 // keepFailure reads an answer with a status of 500 or above, which the caller gets if no
 // other attempt is answered.
 func (x *exchange) keepFailure(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) {
--- a/io/crforward/stall_test.go
+++ b/io/crforward/stall_test.go
@@ -33,6 +33,8 @@
 	}{
 		{"pauses between events, refused elsewhere", pauses(0, 2800*time.Millisecond), refuse, true},
 		{"pauses between events, silent elsewhere", pauses(0, 2800*time.Millisecond), silentHandler, true},
+		{"pauses between events, only a header elsewhere", pauses(0, 2800*time.Millisecond), headerOnly, true},
+		{"pauses between events, broken off elsewhere", pauses(0, 2800*time.Millisecond), breaksAfterHeader, true},
 		{"takes no connections, refused elsewhere", pauses(0, 1200*time.Millisecond), refuse, false},
 		{"pauses before its answer, refused elsewhere", pauses(4*time.Second, 0), refuse, true},
 		{"takes no connections before its answer, refused elsewhere", pauses(1500*time.Millisecond, 0), refuse, false},
@@ -67,3 +69,35 @@
 }
 
 func silentHandler(_ http.ResponseWriter, q *http.Request) { <-q.Context().Done() }
+
+func headerOnly(w http.ResponseWriter, q *http.Request) {
+	_ = http.NewResponseController(w).Flush()
+	<-q.Context().Done()
+}
+
+func breaksAfterHeader(w http.ResponseWriter, _ *http.Request) {
+	_ = http.NewResponseController(w).Flush()
+	time.Sleep(100 * time.Millisecond)
+	panic(http.ErrAbortHandler)
+}
+
+// TestSilentStreamsLeaveRetryBudget checks that streams whose successors find no endpoint
+// use at most one repeat each, however long they are silent.
+func TestSilentStreamsLeaveRetryBudget(t *testing.T) {
+	runFixture(t, func(r *fixture) {
+		r.forwarder.MaxKeyAge = time.Hour
+		r.send(r.t.Context(), "/draft/", "", "Deadline", "9s")
+		left := 0
+		for r.state.SpendRetry(time.Now(), "app") {
+			left++
+		}
+		time.Sleep(10 * time.Second)
+		full := 0
+		for r.state.SpendRetry(time.Now(), "app") {
+			full++
+		}
+		if left < full-1 {
+			t.Errorf("%d repeats are left, want %d or more", left, full-1)
+		}
+	}, silentHandler)
+}
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -133,8 +133,9 @@
 }
 
 // copy passes on events until the answer ends or a successor has an answer, which it
-// returns. If the answer breaks off while a successor is pending, copy waits for that one. Its error says why the answer broke off; writeErr is also set if a write to the
-// caller failed.
+// returns. If the answer breaks off while a successor is pending, copy waits for that one.
+// Its error says why the answer broke off; writeErr is also set if a write to the caller
+// failed.
 func (s *streamCopier) copy(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) (*attemptAnswer, error) {
 	chunks := make(chan chunk)
 	ended := make(chan struct{})
