Don't let connections without a request hold up a stop

Operators would see a stop last longer by up to 5 s, the time for which Shutdown waits for a connection on which nothing has arrived.

The end of the daemon's context ends the wait, too, and the front is found by its name.

Evidence: TestStopEndsWithConnectionsWithoutRequest fails with Shutdown alone and passes now; TestRequestReadAsServerStopsIsAnswered still passes.

--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -83,6 +83,7 @@
 
 	state     *crgrant.State
 	forwarder *crforward.Forwarder
+	front     *http.Server
 	hop       *crhop.Client
 	link      *crlink.Link
 	peers     *http.Client
@@ -125,9 +126,11 @@
 	select {
 	case <-ctx.Done():
 	case <-r.stop:
-		stopAt := r.leave(ctx)
-		// The front comes first in the list.
-		stopServing(servers[0], stopAt)
+		stopCtx, stopCancel := context.WithDeadline(ctx, r.leave(ctx))
+		if r.front != nil {
+			stopServing(stopCtx, r.front, r.Metrics.InFlight.Value)
+		}
+		stopCancel()
 	}
 	cancel()
 	for _, s := range servers {
@@ -296,6 +299,9 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 			ErrorLog:          zap.NewStdLog(r.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 		}
+		if l.name == "front" {
+			r.front = server
+		}
 		servers = append(servers, server)
 		tasks.Go(func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/io/crrouter/stop_test.go
+++ b/io/crrouter/stop_test.go
@@ -1,11 +1,13 @@
 package crrouter
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,7 +25,10 @@
 			network.AddHost("caller", "callers", netip.MustParseAddr("10.9.0.1"))
 			network.AddHost("entry", "noord-a", address.Addr())
 			handled := 0
+			var inFlight atomic.Int64
 			server, err := network.Serve(address, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				inFlight.Add(1)
+				defer inFlight.Add(-1)
 				handled++
 				time.Sleep(50 * time.Millisecond)
 				_, _ = io.WriteString(w, "whole")
@@ -49,7 +54,9 @@
 			defer stopping.Wait()
 			stopping.Go(func() {
 				time.Sleep(time.Until(stop))
-				stopServing(server, stop.Add(time.Second))
+				ctx, cancel := context.WithDeadline(t.Context(), stop.Add(time.Second))
+				defer cancel()
+				stopServing(ctx, server, inFlight.Load)
 			})
 			time.Sleep(time.Until(stop) + offset)
 			if got := post(); got != "whole" && handled > 1 {
@@ -58,3 +65,32 @@
 		})
 	}
 }
+
+// TestStopEndsWithConnectionsWithoutRequest checks that a connection on which no request
+// arrives doesn't hold up the stop.
+func TestStopEndsWithConnectionsWithoutRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &crnet.Network{Delay: func(_, _ string) time.Duration { return 4 * time.Millisecond }}
+		address := netip.MustParseAddrPort("10.0.0.1:80")
+		network.AddHost("caller", "callers", netip.MustParseAddr("10.9.0.1"))
+		network.AddHost("entry", "noord-a", address.Addr())
+		server, err := network.Serve(address, http.NotFoundHandler())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer server.Close()
+		c, err := network.Dial("caller")(t.Context(), "tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 7*time.Second)
+		defer cancel()
+		begin := time.Now()
+		stopServing(ctx, server, func() int64 { return 0 })
+		if took := time.Since(begin); took > time.Second {
+			t.Errorf("the stop took %s", took)
+		}
+	})
+}
