Keep prompts with a part that crashes endpoints from them

Cause: nothing connected crashes with what the endpoints were answering. Health tells of endpoints only, so each of these requests, and each repeat of it, was sent to the next endpoint that worked. The class of fault: a request is taken for innocent of what happens to its endpoint, and evidence stays where it arises.

Change: crquarantine finds the part. The evidence is which prompts were waiting for their answers at an endpoint that crashed (it closed the connection and refuses new ones), and the parts on which answers began. A part that was involved in three crashes, at different moments and by more than one request, without an answer that began since two seconds before, is quarantined, together with the companions that nothing tells apart from it: a prompt is kept back only if it has all of them. Crashes that one quarantine explains don't count against prompts that were at the same endpoint.

--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -138,6 +138,8 @@
 	m.WorkEndpoints, m.WorkRequests = workProto(s.work.Sums(ownDomain))
 	m.Failures = failuresProto(s.failures.Sums(now, ownDomain))
 	m.Rollouts = s.progressProto(now, ownDomain)
+	m.CrashEvidence = evidenceProto(now, s.quarantine.News(now))
+	m.Quarantines = s.quarantinesProto(now)
 	m.Unreachable = s.unreachable(now)
 	m.LeavingEndpoints = s.leaving(now)
 }
@@ -206,6 +208,8 @@
 		s.health.RecordPeerReport(now, crledger.Key(k))
 	}
 	s.applyLeaving(now, m.GetLeavingEndpoints())
+	s.applyEvidence(now, m.GetCrashEvidence())
+	s.compareQuarantines(now, m.Quarantines)
 	return nil
 }
 
--- a/core/crgrant/dump.go
+++ b/core/crgrant/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"crocusrack/core/crledger"
+	"crocusrack/core/crquarantine"
 	"crocusrack/core/crrollout"
 )
 
@@ -21,6 +22,8 @@
 	// Rollouts are the operators' orders to move services to new versions, and how far
 	// they are.
 	Rollouts []crrollout.Status `json:"rollouts"`
+	// Quarantines are the parts of prompts that are kept from endpoints.
+	Quarantines []crquarantine.Quarantine `json:"quarantines"`
 }
 
 // DumpEndpoint is one endpoint in a Dump.
@@ -85,6 +88,7 @@
 		})
 	}
 	d.Rollouts = s.rollouts.Statuses(now)
+	d.Quarantines = s.quarantine.Quarantines(now)
 	for _, name := range s.pace.Services() {
 		factor, count := s.pace.ForecastError(name)
 		speed := s.pace.Speed(now, name)
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -19,6 +19,7 @@
 	"crocusrack/core/crledger"
 	"crocusrack/core/crliveness"
 	"crocusrack/core/crplace"
+	"crocusrack/core/crquarantine"
 	"crocusrack/core/crretry"
 	"crocusrack/core/crrollout"
 	"crocusrack/core/crroute"
@@ -59,6 +60,9 @@
 	// OnRollout is called when this instance finds something about a roll-out. It must not
 	// call methods of the State. It may be nil.
 	OnRollout func(crrollout.Event)
+	// OnQuarantine is called with the quarantined parts of prompts when they have changed.
+	// It must not call methods of the State. It may be nil.
+	OnQuarantine func([]crquarantine.Quarantine)
 	// OnUrgent is called when other instances must be informed without waiting for the next
 	// report. It must not call methods of the State. It may be nil.
 	OnUrgent func()
@@ -69,18 +73,21 @@
 	EndpointsEvidence    crfreshness.Evidence
 	OutOfServiceEvidence crfreshness.Evidence
 
-	mu       sync.Mutex
-	once     sync.Once
-	roster   crliveness.Roster
-	work     crledger.Ledger
-	contexts crcontext.Table
-	health   crhealth.Table
-	failures crhealth.Failures
-	reads    crledger.PrefillBacklog
-	pace     crlatency.Table
-	placer   crplace.Placer
-	coldGate crplace.ColdGate
-	rollouts crrollout.Table
+	mu         sync.Mutex
+	once       sync.Once
+	roster     crliveness.Roster
+	work       crledger.Ledger
+	contexts   crcontext.Table
+	health     crhealth.Table
+	failures   crhealth.Failures
+	reads      crledger.PrefillBacklog
+	pace       crlatency.Table
+	placer     crplace.Placer
+	coldGate   crplace.ColdGate
+	rollouts   crrollout.Table
+	quarantine crquarantine.Table
+	// quarantineHash is the hash of the quarantines that OnQuarantine was called with last.
+	quarantineHash uint64
 	// rolloutsRevision is the revision of the orders in rollouts.
 	rolloutsRevision uint64
 	retryBudgets     map[string]*crretry.Budget
@@ -165,6 +172,8 @@
 	Service crroute.Service
 	// Links identify the prompt. They are empty for a request without a prompt.
 	Links []crcontext.Link
+	// Parts are the parts of the prompt that other prompts may have, too.
+	Parts []crquarantine.Part
 	// Route is the name of the request's route, and Draw a hash of its id, which is the
 	// same each time.
 	Route string
@@ -184,6 +193,7 @@
 	crplace.Choice
 	state *State
 	links []crcontext.Link
+	parts []crquarantine.Part
 	route string
 	// NewVersion is true if the endpoint runs a version that the service's traffic moves
 	// to.
@@ -193,8 +203,9 @@
 	started      time.Time
 	startElapsed time.Duration
 	ended        bool
-	// read is true once the endpoint has read the prompt.
-	read bool
+	// read is true once the endpoint has read the prompt, and answered once its answer goes
+	// on.
+	read, answered bool
 }
 
 // Grant selects an endpoint and counts the request as in flight there. If no endpoint can
@@ -202,11 +213,13 @@
 func (s *State) Grant(now time.Time, a Request) *Grant {
 	s.lock(now)
 	defer s.mu.Unlock()
-	choice, newVersion := s.place(now, a)
-	g := &Grant{
-		Choice: choice, NewVersion: newVersion, state: s, links: a.Links, route: a.Route,
-		started: now, startElapsed: s.Elapsed(),
+	g := &Grant{state: s, links: a.Links, parts: a.Parts, route: a.Route, started: now, startElapsed: s.Elapsed()}
+	if q, blocked := s.quarantine.Blocked(now, a.Parts); blocked {
+		g.Reason, g.RetryAfter = crplace.Quarantined, q.Until.Sub(now)
+		return g
 	}
+	choice, newVersion := s.place(now, a)
+	g.Choice, g.NewVersion = choice, newVersion
 	if choice.Endpoint == nil {
 		if choice.Reason != crplace.PrefillInProgress {
 			g.RetryAfter = s.retryAfter(now, a.Service.Name, choice)
@@ -337,12 +350,14 @@
 const grantLifetime = time.Second
 
 // Valid reports whether the request may still be sent: the grant is recent, the endpoint
-// is present and isn't leaving, and its failure domain is in service.
+// is present and isn't leaving, its failure domain is in service, and the prompt isn't
+// quarantined.
 func (g *Grant) Valid(now time.Time) bool {
 	s := g.state
 	s.lock(now)
 	defer s.mu.Unlock()
-	return s.Elapsed()-g.startElapsed < grantLifetime && s.placer.MayUse(now, g.Endpoint.Key)
+	_, blocked := s.quarantine.Blocked(now, g.parts)
+	return !blocked && s.Elapsed()-g.startElapsed < grantLifetime && s.placer.MayUse(now, g.Endpoint.Key)
 }
 
 // End removes the request from the requests in flight and records its outcome. It reports
--- /dev/null
+++ b/core/crgrant/quarantine.go
@@ -0,0 +1,115 @@
+package crgrant
+
+import (
+	"time"
+
+	"crocusrack/core/crquarantine"
+	pb "crocusrack/schema/crrouter"
+)
+
+// MarkAnswered records that the answer to the request goes on after its beginning, which
+// shows that its prompt doesn't crash endpoints. Further calls have no effect.
+func (g *Grant) MarkAnswered(now time.Time) {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	if g.answered || len(g.parts) == 0 {
+		return
+	}
+	g.answered = true
+	if s.quarantine.RecordAnswer(now, g.parts) {
+		s.quarantinesChanged(now)
+	}
+}
+
+// RecordCrash records that the endpoint crashed before MarkAnswered. The parameter request
+// is a hash of the request's id.
+func (g *Grant) RecordCrash(now time.Time, request uint64) {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	if g.answered || len(g.parts) == 0 {
+		return
+	}
+	c := crquarantine.Crash{At: now, Request: request, Endpoint: uint64(g.Endpoint.Key), Parts: g.parts}
+	if s.quarantine.RecordCrash(now, c) {
+		s.quarantinesChanged(now)
+		s.signalUrgent()
+	}
+}
+
+// quarantinesChanged calls OnQuarantine if other parts are quarantined than at the last
+// call.
+func (s *State) quarantinesChanged(now time.Time) {
+	hash := s.quarantine.Hash(now)
+	if hash == s.quarantineHash {
+		return
+	}
+	s.quarantineHash = hash
+	if s.OnQuarantine != nil {
+		s.OnQuarantine(s.quarantine.Quarantines(now))
+	}
+}
+
+// Quarantines returns the quarantined parts of prompts.
+func (s *State) Quarantines(now time.Time) []crquarantine.Quarantine {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.quarantine.Quarantines(now)
+}
+
+// evidenceProto encodes evidence as messages carry it. It returns nil if there is none.
+func evidenceProto(now time.Time, e crquarantine.Evidence) *pb.CrashEvidence {
+	if len(e.Crashes) == 0 && len(e.Answers) == 0 {
+		return nil
+	}
+	m := &pb.CrashEvidence{}
+	for _, c := range e.Crashes {
+		crash := &pb.PromptCrash{Request: c.Request, Endpoint: c.Endpoint, AgeMs: ageMs(now, c.At)}
+		for _, p := range c.Parts {
+			crash.Parts = append(crash.Parts, uint64(p))
+		}
+		m.Crashes = append(m.Crashes, crash)
+	}
+	for _, a := range e.Answers {
+		m.Answers = append(m.Answers, &pb.AnsweredPart{Part: uint64(a.Part), AgeMs: ageMs(now, a.At)})
+	}
+	return m
+}
+
+func ageMs(now, at time.Time) uint32 { return uint32(max(0, now.Sub(at).Milliseconds())) }
+
+// applyEvidence adds the evidence of a message.
+func (s *State) applyEvidence(now time.Time, m *pb.CrashEvidence) {
+	if m == nil {
+		return
+	}
+	at := func(ageMs uint32) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
+	var e crquarantine.Evidence
+	for _, c := range m.GetCrashes() {
+		crash := crquarantine.Crash{At: at(c.GetAgeMs()), Request: c.GetRequest(), Endpoint: c.GetEndpoint()}
+		for _, p := range c.GetParts() {
+			crash.Parts = append(crash.Parts, crquarantine.Part(p))
+		}
+		e.Crashes = append(e.Crashes, crash)
+	}
+	for _, a := range m.GetAnswers() {
+		e.Answers = append(e.Answers, crquarantine.Answer{Part: crquarantine.Part(a.GetPart()), At: at(a.GetAgeMs())})
+	}
+	s.quarantine.Apply(now, e)
+	s.quarantinesChanged(now)
+}
+
+// compareQuarantines has all evidence told if the sender of a message has other quarantines.
+// The hash is nil if the sender is of a release that knows none.
+func (s *State) compareQuarantines(now time.Time, hash *uint64) {
+	if hash != nil && *hash != s.quarantine.Hash(now) {
+		s.quarantine.Differs(now)
+	}
+}
+
+// quarantinesProto returns the hash of the quarantines as messages carry it.
+func (s *State) quarantinesProto(now time.Time) *uint64 {
+	hash := s.quarantine.Hash(now)
+	return &hash
+}
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -108,7 +108,7 @@
 func (s *State) Compose(now time.Time, to string) *pb.Report {
 	s.lock(now)
 	defer s.mu.Unlock()
-	m := s.newBriefReport(to)
+	m := s.newBriefReport(now, to)
 	m.Brief = false
 	m.Seeking = s.roster.Size(now) == 1
 	for _, i := range s.roster.RecentlyAdded(now) {
@@ -136,6 +136,7 @@
 	m.LeavingEndpoints = s.leaving(now)
 	m.Failures = failuresProto(s.failures.OwnCounts(now))
 	m.Rollouts = s.progressProto(now, nil)
+	m.CrashEvidence = evidenceProto(now, s.quarantine.News(now))
 	return m
 }
 
@@ -163,7 +164,7 @@
 func (s *State) ComposeBrief(now time.Time, to string) *pb.Report {
 	s.lock(now)
 	defer s.mu.Unlock()
-	m := s.newBriefReport(to)
+	m := s.newBriefReport(now, to)
 	m.From = &pb.Peer{Name: s.Self.Name}
 	return m
 }
@@ -173,7 +174,7 @@
 func (s *State) ComposeDigest(now time.Time, to string, d *pb.Digest) *pb.Report {
 	s.lock(now)
 	defer s.mu.Unlock()
-	m := s.newBriefReport(to)
+	m := s.newBriefReport(now, to)
 	m.Brief, m.Digest = false, d
 	if len(d.GetMembers()) > 0 {
 		for _, i := range s.roster.Contacts(now, s.roster.Instance(to).FailureDomain) {
@@ -185,7 +186,7 @@
 
 // newBriefReport returns a brief report to the named instance, with the next sequence
 // number.
-func (s *State) newBriefReport(to string) *pb.Report {
+func (s *State) newBriefReport(now time.Time, to string) *pb.Report {
 	s.reports.sequence++
 	elapsed := s.Elapsed()
 	m := &pb.Report{
@@ -200,6 +201,7 @@
 		EndpointsRevision: s.endpointsRevision,
 		OutsRevision:      s.outsRevision,
 		RolloutsRevision:  s.rolloutsRevision,
+		Quarantines:       s.quarantinesProto(now),
 	}
 	if s.routingTable != nil {
 		m.RoutingVersion = s.routingTable.Version
@@ -353,6 +355,7 @@
 	})
 	if fresh {
 		s.applyEcho(from.Name, m)
+		s.compareQuarantines(now, m.Quarantines)
 	}
 	return fresh
 }
@@ -390,6 +393,7 @@
 	s.work.Report(now, name, work)
 	s.applyFailures(now, name, m.GetFailures(), crhealth.Counts{})
 	s.applyProgress(now, name, m.GetRollouts(), nil)
+	s.applyEvidence(now, m.GetCrashEvidence())
 	if s.roster.IsRelay(now, s.Self.Name) {
 		// Every instance now reports to this one directly. The sums of an earlier relay
 		// would count their requests twice.
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -94,9 +94,12 @@
 	// PrefillInProgress means that an endpoint is busy with the prefill of a prefix that
 	// this prompt shares, and that waiting for it is expected to pay off.
 	PrefillInProgress
+	// Quarantined means that the prompt has parts that crash endpoints. Place doesn't
+	// return it; its callers look at prompts first.
+	Quarantined
 )
 
-var reasonNames = [...]string{Chosen: "chosen", NoEndpoint: "no-endpoint", Busy: "all-busy", Cold: "all-cold", Paused: "all-paused", PrefillInProgress: "reading"}
+var reasonNames = [...]string{Chosen: "chosen", NoEndpoint: "no-endpoint", Busy: "all-busy", Cold: "all-cold", Paused: "all-paused", PrefillInProgress: "reading", Quarantined: "quarantined-prompt"}
 
 // String returns the name of the reason in kebab case.
 func (r Reason) String() string {
--- /dev/null
+++ b/core/crquarantine/quarantine.go
@@ -0,0 +1,418 @@
+// Package crquarantine finds parts of prompts that crash endpoints, and keeps requests
+// with such a part from endpoints.
+//
+// The evidence is which prompts were waiting for their answers when an endpoint crashed,
+// and whose answers began. A part that crashes endpoints is in a prompt of each crash, and
+// no answer to a prompt with it ever begins. Other parts of those prompts, and prompts that
+// happened to be at the same endpoint, are told apart by the answers that begin elsewhere.
+// Instances exchange the evidence, and each draws its conclusions from all of it.
+package crquarantine
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"crocusrack/core/crhash"
+	"crocusrack/core/crrecent"
+)
+
+const (
+	// minCrashes is the number of crashes, and minRequests that of different requests, that
+	// a part must be involved in before it is quarantined.
+	minCrashes  = 3
+	minRequests = 2
+	// minSpacing is the time between crashes that count separately. Several endpoints that
+	// end at the same moment have a common cause other than a prompt.
+	minSpacing = 150 * time.Millisecond
+	// answerLead is how long before a crash an answer must have begun to say nothing about
+	// it. A part that was harmless may become deadly when endpoints change.
+	answerLead = 2 * time.Second
+	// blockTime is how long after its last crash a part stays quarantined. The request that
+	// is sent then shows whether the endpoints bear it by now.
+	blockTime = 10 * time.Minute
+	// memoryTime is how long crashes count as evidence. It is longer than blockTime, so that
+	// one more crash is enough to quarantine a part again.
+	memoryTime = 2 * time.Hour
+	// newsTime is how long evidence is repeated to other instances after it was learned.
+	newsTime = 3 * time.Second
+	// maxCrashes bounds the crashes, and maxAnswered the answered parts, that are kept.
+	maxCrashes  = 512
+	maxAnswered = 8192
+	// maxNewsCrashes and maxNewsAnswers bound what is told at a time.
+	maxNewsCrashes = 48
+	maxNewsAnswers = 96
+)
+
+// Part identifies a part of the prompts of a service.
+type Part uint64
+
+// PartOf returns the Part of a service's prompts with the given id.
+func PartOf(service, id string) Part { return Part(crhash.Mix(crhash.Of(service), crhash.Of(id))) }
+
+// String returns the part in hexadecimal, as logs and dumps show it.
+func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
+
+// MarshalText returns the bytes of String. It returns no error.
+func (p Part) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// Crash records that a request waited for its answer at an endpoint that crashed.
+type Crash struct {
+	At time.Time
+	// Request is a hash of the request's id, and Endpoint that of the endpoint's id and
+	// incarnation. An incarnation crashes once at most.
+	Request, Endpoint uint64
+	// Parts are the parts of the prompt that other prompts may have, too.
+	Parts []Part
+}
+
+// Answer records that an answer to a prompt with a part has begun.
+type Answer struct {
+	Part Part
+	At   time.Time
+}
+
+// Evidence is what instances tell each other.
+type Evidence struct {
+	Crashes []Crash
+	Answers []Answer
+}
+
+// Quarantine is a set of parts. Requests that have all of them are kept from endpoints. It
+// has more than one part as long as nothing shows which of them crashes endpoints.
+type Quarantine struct {
+	Parts []Part `json:"parts"`
+	// Crashes is the number of crashes that it explains.
+	Crashes int `json:"crashes"`
+	// Until is when it ends unless there is another crash.
+	Until time.Time `json:"until"`
+}
+
+// Table holds the evidence and the quarantines that follow from it. The zero value is
+// empty and ready to use. A Table is not safe for concurrent use.
+type Table struct {
+	crashes []*crash
+	// suspects counts for each part the crashes that it is involved in.
+	suspects map[Part]int
+	answered crrecent.Map[Part, time.Time]
+	// news holds the answers that cleared a suspect, with the time when they were learned.
+	news        []learnedAnswer
+	quarantines []Quarantine
+	// repeatUntil is the time until which all evidence is told.
+	repeatUntil time.Time
+}
+
+type crash struct {
+	Crash
+	learned time.Time
+}
+
+type learnedAnswer struct {
+	Answer
+	learned time.Time
+}
+
+// Blocked returns the quarantine that a prompt with the given parts falls under, and
+// whether there is one.
+func (t *Table) Blocked(now time.Time, parts []Part) (Quarantine, bool) {
+	for _, q := range t.quarantines {
+		if now.Before(q.Until) && containsAll(parts, q.Parts) {
+			return q, true
+		}
+	}
+	return Quarantine{}, false
+}
+
+// Quarantines returns the quarantines in force.
+func (t *Table) Quarantines(now time.Time) []Quarantine {
+	var list []Quarantine
+	for _, q := range t.quarantines {
+		if now.Before(q.Until) {
+			list = append(list, q)
+		}
+	}
+	return list
+}
+
+// Hash returns a hash of the quarantines in force, by which instances notice that their
+// evidence differs.
+func (t *Table) Hash(now time.Time) uint64 {
+	sum := uint64(0)
+	for _, q := range t.Quarantines(now) {
+		hash := uint64(1)
+		for _, p := range q.Parts {
+			hash = crhash.Mix(hash, uint64(p))
+		}
+		sum ^= hash
+	}
+	return sum
+}
+
+// RecordAnswer records that an answer to a prompt with the given parts has begun. It
+// reports whether that clears a suspect.
+func (t *Table) RecordAnswer(now time.Time, parts []Part) bool {
+	cleared := false
+	for _, p := range parts {
+		cleared = t.addAnswer(now, Answer{p, now}) || cleared
+	}
+	if cleared {
+		t.update(now)
+	}
+	return cleared
+}
+
+// RecordCrash records a crash. It reports whether the crash is new and no answer clears all
+// of its parts.
+func (t *Table) RecordCrash(now time.Time, c Crash) bool {
+	if !t.addCrash(now, c) {
+		return false
+	}
+	t.update(now)
+	return true
+}
+
+// Apply adds the evidence of another instance.
+func (t *Table) Apply(now time.Time, e Evidence) {
+	changed := false
+	for _, a := range e.Answers {
+		changed = t.addAnswer(now, a) || changed
+	}
+	for _, c := range e.Crashes {
+		changed = t.addCrash(now, c) || changed
+	}
+	if changed {
+		t.update(now)
+	}
+}
+
+// Differs records that another instance has other quarantines, so that all evidence is
+// told for a while.
+func (t *Table) Differs(now time.Time) { t.repeatUntil = now.Add(newsTime) }
+
+// News returns the evidence to tell other instances now, the newest first: what was learned
+// lately, or all of it after Differs.
+func (t *Table) News(now time.Time) Evidence {
+	all := now.Before(t.repeatUntil)
+	var e Evidence
+	for _, c := range slices.Backward(t.crashes) {
+		if len(e.Crashes) < maxNewsCrashes && (all || now.Sub(c.learned) < newsTime) {
+			e.Crashes = append(e.Crashes, c.Crash)
+		}
+	}
+	if all {
+		e.Answers = t.answersFor(e.Crashes)
+		return e
+	}
+	for _, a := range slices.Backward(t.news) {
+		if len(e.Answers) < maxNewsAnswers && now.Sub(a.learned) < newsTime {
+			e.Answers = append(e.Answers, a.Answer)
+		}
+	}
+	return e
+}
+
+// All returns the evidence for an instance that has none, the newest first.
+func (t *Table) All() Evidence {
+	var e Evidence
+	for _, c := range slices.Backward(t.crashes) {
+		if len(e.Crashes) < maxNewsCrashes {
+			e.Crashes = append(e.Crashes, c.Crash)
+		}
+	}
+	e.Answers = t.answersFor(e.Crashes)
+	return e
+}
+
+// answersFor returns the answers that clear parts of the given crashes.
+func (t *Table) answersFor(crashes []Crash) []Answer {
+	var list []Answer
+	told := make(map[Part]bool)
+	for _, c := range crashes {
+		for _, p := range c.Parts {
+			if at, ok := t.answered.Get(p); ok && !told[p] && len(list) < maxNewsAnswers {
+				told[p] = true
+				list = append(list, Answer{p, at})
+			}
+		}
+	}
+	return list
+}
+
+// addAnswer adds an answer and reports whether it clears a part of a crash.
+func (t *Table) addAnswer(now time.Time, a Answer) bool {
+	t.answered.Limit = maxAnswered
+	before, known := t.answered.Get(a.Part)
+	if known && !before.Before(a.At) {
+		return false
+	}
+	t.answered.Put(a.Part, a.At)
+	if t.suspects[a.Part] == 0 {
+		return false
+	}
+	for _, c := range t.crashes {
+		if slices.Contains(c.Parts, a.Part) && clears(a.At, c.At) && (!known || !clears(before, c.At)) {
+			t.addNews(now, a)
+			return true
+		}
+	}
+	return false
+}
+
+// addNews queues an answer for other instances.
+func (t *Table) addNews(now time.Time, a Answer) {
+	t.news = slices.DeleteFunc(t.news, func(o learnedAnswer) bool {
+		return o.Part == a.Part || now.Sub(o.learned) >= newsTime
+	})
+	t.news = append(t.news, learnedAnswer{a, now})
+}
+
+// addCrash adds a crash unless it is known or all of its parts are cleared. The answers
+// that clear some of its parts are queued for the other instances.
+func (t *Table) addCrash(now time.Time, c Crash) bool {
+	known := func(o *crash) bool { return o.Request == c.Request && o.Endpoint == c.Endpoint }
+	if now.Sub(c.At) >= memoryTime || slices.ContainsFunc(t.crashes, known) {
+		return false
+	}
+	added := &crash{c, now}
+	suspect := false
+	for _, p := range c.Parts {
+		if at, ok := t.answered.Get(p); ok && clears(at, c.At) {
+			t.addNews(now, Answer{p, at})
+		} else {
+			suspect = true
+		}
+	}
+	if !suspect {
+		return false
+	}
+	t.crashes = append(t.crashes, added)
+	return true
+}
+
+// clears reports whether an answer that began at one time shows that its parts didn't cause
+// the crash at another.
+func clears(answer, crash time.Time) bool { return answer.After(crash.Add(-answerLead)) }
+
+// isSuspect reports whether a part may have caused a crash.
+func (t *Table) isSuspect(p Part, c *crash) bool {
+	at, ok := t.answered.Get(p)
+	return !ok || !clears(at, c.At)
+}
+
+// update drops old evidence and computes the quarantines. It explains as many crashes as
+// possible with each quarantine, and doesn't count a crash twice: prompts that were at an
+// endpoint together with a quarantined one are no suspects of its crash.
+func (t *Table) update(now time.Time) {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
+		return now.Sub(c.At) >= memoryTime || !slices.ContainsFunc(c.Parts, func(p Part) bool { return t.isSuspect(p, c) })
+	})
+	t.quarantines = nil
+	explained := make(map[uint64]bool)
+	for {
+		involved := t.involved(explained)
+		best, bestCount := Part(0), 0
+		for p, list := range involved {
+			n := separateCrashes(list)
+			if n >= minCrashes && (n > bestCount || n == bestCount && p < best) {
+				best, bestCount = p, n
+			}
+		}
+		if bestCount == 0 {
+			break
+		}
+		q := Quarantine{Parts: t.common(involved[best]), Crashes: bestCount}
+		for _, c := range involved[best] {
+			explained[c.Endpoint] = true
+			if until := c.At.Add(blockTime); until.After(q.Until) {
+				q.Until = until
+			}
+		}
+		t.quarantines = append(t.quarantines, q)
+	}
+	t.evict(explained)
+	t.suspects = make(map[Part]int)
+	for _, c := range t.crashes {
+		for _, p := range c.Parts {
+			t.suspects[p]++
+		}
+	}
+}
+
+// involved returns the crashes that aren't explained for each part that may have caused
+// them.
+func (t *Table) involved(explained map[uint64]bool) map[Part][]*crash {
+	m := make(map[Part][]*crash)
+	for _, c := range t.crashes {
+		if explained[c.Endpoint] {
+			continue
+		}
+		for _, p := range c.Parts {
+			if t.isSuspect(p, c) {
+				m[p] = append(m[p], c)
+			}
+		}
+	}
+	return m
+}
+
+// separateCrashes returns the number of crashes that have no common cause other than a
+// prompt, or zero if they concern fewer than minRequests requests. Those are crashes with
+// minSpacing between them, and those of one request, which was sent to the second endpoint
+// after the first had crashed.
+func separateCrashes(list []*crash) int {
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, func(a, b *crash) int { return a.At.Compare(b.At) })
+	requests, endpoints := make(map[uint64]bool), make(map[uint64]bool)
+	n := 0
+	var last *crash
+	for _, c := range list {
+		requests[c.Request] = true
+		if endpoints[c.Endpoint] {
+			continue
+		}
+		endpoints[c.Endpoint] = true
+		if last == nil || c.Request == last.Request || c.At.Sub(last.At) >= minSpacing {
+			n, last = n+1, c
+		}
+	}
+	if len(requests) < minRequests {
+		return 0
+	}
+	return n
+}
+
+// common returns the suspects that all of the given crashes have, in ascending order.
+func (t *Table) common(list []*crash) []Part {
+	var parts []Part
+	for _, p := range list[0].Parts {
+		if !slices.ContainsFunc(list, func(c *crash) bool { return !slices.Contains(c.Parts, p) || !t.isSuspect(p, c) }) {
+			parts = append(parts, p)
+		}
+	}
+	slices.Sort(parts)
+	return slices.Compact(parts)
+}
+
+// evict drops the oldest crashes beyond maxCrashes, those that a quarantine explains last.
+func (t *Table) evict(explained map[uint64]bool) {
+	extra := len(t.crashes) - maxCrashes
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
+		drop := extra > 0 && !explained[c.Endpoint]
+		if drop {
+			extra--
+		}
+		return drop
+	})
+	if extra > 0 {
+		t.crashes = slices.Delete(t.crashes, 0, extra)
+	}
+}
+
+func containsAll(set, parts []Part) bool {
+	for _, p := range parts {
+		if !slices.Contains(set, p) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/crquarantine/quarantine_test.go
@@ -0,0 +1,161 @@
+package crquarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"crocusrack/core/crquarantine"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func parts(ids ...string) []crquarantine.Part {
+	var list []crquarantine.Part
+	for _, id := range ids {
+		list = append(list, crquarantine.PartOf("llm", id))
+	}
+	return list
+}
+
+func crash(ms int, request, endpoint uint64, ids ...string) crquarantine.Crash {
+	return crquarantine.Crash{At: at(ms), Request: request, Endpoint: endpoint, Parts: parts(ids...)}
+}
+
+// TestQuarantine checks which prompts are quarantined after a sequence of crashes and
+// answers.
+func TestQuarantine(t *testing.T) {
+	type answer struct {
+		ms  int
+		ids []string
+	}
+	for _, c := range []struct {
+		name    string
+		crashes []crquarantine.Crash
+		answers []answer
+		blocked []string
+		allowed []string
+	}{
+		{
+			"three crashes of two requests",
+			[]crquarantine.Crash{crash(0, 1, 1, "a", "p"), crash(300, 1, 2, "a", "p"), crash(900, 2, 3, "b", "p")}, nil,
+			[]string{"p"}, []string{"a", "b"},
+		},
+		{
+			"three crashes of one request",
+			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(300, 1, 2, "p"), crash(900, 1, 3, "p")}, nil,
+			nil, []string{"p"},
+		},
+		{
+			"one endpoint with many requests",
+			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(300, 2, 1, "p"), crash(900, 3, 1, "p")}, nil,
+			nil, []string{"p"},
+		},
+		{
+			"many endpoints at the same moment",
+			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(10, 2, 2, "p"), crash(20, 3, 3, "p"), crash(30, 4, 4, "p")}, nil,
+			nil, []string{"p"},
+		},
+		{
+			"answered meanwhile",
+			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(300, 2, 2, "p"), crash(900, 3, 3, "p")}, []answer{{600, []string{"p"}}},
+			nil, []string{"p"},
+		},
+		{
+			"answered long before",
+			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(300, 2, 2, "p"), crash(900, 3, 3, "p")}, []answer{{-3000, []string{"p"}}},
+			[]string{"p"}, nil,
+		},
+		{
+			"a companion that was never answered is blocked only together with the part",
+			[]crquarantine.Crash{crash(0, 1, 1, "d", "p"), crash(300, 2, 2, "d", "p"), crash(900, 3, 3, "d", "p")}, nil,
+			[]string{"d p"}, []string{"d", "p"},
+		},
+		{
+			"a companion that is answered",
+			[]crquarantine.Crash{crash(0, 1, 1, "d", "p"), crash(300, 2, 2, "d", "p"), crash(900, 3, 3, "d", "p")}, []answer{{1000, []string{"d"}}},
+			[]string{"p"}, []string{"d"},
+		},
+		{
+			"a bystander at each crashed endpoint",
+			[]crquarantine.Crash{
+				crash(0, 1, 1, "p"), crash(0, 11, 1, "s"), crash(300, 2, 2, "p"), crash(300, 12, 2, "s"),
+				crash(900, 3, 3, "p"), crash(900, 13, 3, "s"), crash(1500, 4, 4, "p"),
+			}, nil,
+			[]string{"p"}, []string{"s"},
+		},
+		{
+			"two deadly parts",
+			[]crquarantine.Crash{
+				crash(0, 1, 1, "p"), crash(300, 2, 2, "q"), crash(600, 3, 3, "p"), crash(900, 4, 4, "q"), crash(1200, 5, 5, "p"), crash(1500, 6, 6, "q"),
+			}, nil,
+			[]string{"p", "q"}, nil,
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var table, other crquarantine.Table
+			for _, a := range c.answers {
+				table.RecordAnswer(at(a.ms), parts(a.ids...))
+			}
+			for _, o := range c.crashes {
+				table.RecordCrash(o.At, o)
+			}
+			other.Apply(at(2000), table.All())
+			for name, tt := range map[string]*crquarantine.Table{"own": &table, "another's": &other} {
+				got := make(map[string]bool)
+				want := make(map[string]bool)
+				for _, list := range []struct {
+					prompts []string
+					blocked bool
+				}{{c.blocked, true}, {c.allowed, false}} {
+					for _, p := range list.prompts {
+						want[p] = list.blocked
+						_, got[p] = tt.Blocked(at(2000), parts(split(p)...))
+					}
+				}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("%s evidence: blocked prompts (-want +got):\n%s", name, diff)
+				}
+			}
+			if table.Hash(at(2000)) != other.Hash(at(2000)) {
+				t.Error("instances with the same evidence have different quarantines")
+			}
+		})
+	}
+}
+
+func split(ids string) []string {
+	var list []string
+	for _, r := range ids {
+		if r != ' ' {
+			list = append(list, string(r))
+		}
+	}
+	return list
+}
+
+// TestQuarantineEndsAndReturns checks that a part is released some minutes after its last
+// crash, and that one more crash is enough to quarantine it again.
+func TestQuarantineEndsAndReturns(t *testing.T) {
+	var table crquarantine.Table
+	for i := range 3 {
+		c := crash(1000*i, uint64(i), uint64(i), "p")
+		table.RecordCrash(c.At, c)
+	}
+	minute := 60_000
+	blocked := func(ms int) bool {
+		_, blocked := table.Blocked(at(ms), parts("p"))
+		return blocked
+	}
+	if !blocked(9*minute) || blocked(11*minute) {
+		t.Errorf("blocked after 9 min: %t, after 11 min: %t", blocked(9*minute), blocked(11*minute))
+	}
+	again := crash(12*minute, 9, 9, "p")
+	table.RecordCrash(again.At, again)
+	if !blocked(12*minute + 1) {
+		t.Error("not blocked after one more crash")
+	}
+}
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -22,6 +22,7 @@
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crledger"
+	"crocusrack/core/crquarantine"
 	"crocusrack/core/crroute"
 	"crocusrack/core/crswitch"
 	"crocusrack/io/crhop"
@@ -157,6 +158,8 @@
 	account  *crroute.Account
 	priority int
 	links    []crcontext.Link
+	// parts are the parts of the prompt that other prompts may have, too.
+	parts    []crquarantine.Part
 	table    *crroute.Table
 	age      time.Duration
 	ageKnown bool
@@ -166,6 +169,8 @@
 	tried []crledger.Key
 	// failure is the last answer with a status of 500 or above.
 	failure *bufferedAnswer
+	// answered is true once an answer has settled.
+	answered atomic.Bool
 	// reserved is true while a repeat has been taken from the retry budget but not used.
 	reserved atomic.Bool
 	// reservedBytes is the memory taken from Forwarder.Memory. The first memoryStep of
@@ -247,6 +252,7 @@
 	x.priority = x.route.Priority
 	if x.service.Engine {
 		x.links = crcontext.Chain(x.request.Model, x.request.Parts)
+		x.parts = quarantineParts(name, x.request.Parts)
 	}
 	return true
 }
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crliveness"
 	"crocusrack/core/crplace"
@@ -36,7 +37,11 @@
 		h := crforward.EndToEnd(r.Header)
 		h.Del("Key")
 		deadline, _ := time.ParseDuration(r.Header.Get("Deadline"))
-		return crforward.Request{Timeout: deadline, ID: r.Header.Get("Id"), Header: h, Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last")}, nil
+		q := crforward.Request{Timeout: deadline, ID: r.Header.Get("Id"), Header: h, Key: r.Header.Get("Key"), LastEvent: r.Header.Get("Last")}
+		for _, id := range strings.Fields(r.Header.Get("Parts")) {
+			q.Parts = append(q.Parts, crcontext.Part{ID: id, Tokens: 100})
+		}
+		return q, nil
 	},
 	Encode: func(h http.Header, a crforward.Attempt) {
 		h.Set("Account", a.Account)
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -108,7 +108,7 @@
 	for {
 		g := x.State.Grant(time.Now(), crgrant.Request{
 			Service: x.service, Route: x.route.Name, Draw: crhash.Of(x.request.ID),
-			Links: x.links, Tried: x.tried, Target: x.route.Target, SkipPrefillWait: ctx.Err() != nil,
+			Links: x.links, Parts: x.parts, Tried: x.tried, Target: x.route.Target, SkipPrefillWait: ctx.Err() != nil,
 		})
 		if g.PrefillWait <= 0 {
 			x.trace.prefillWait += time.Since(asked)
@@ -194,6 +194,7 @@
 	answered, err := x.sendWatched(ctx, g, lastEvent, x.waitLimit())
 	g, answer := answered.grant, answered.answer
 	if err != nil {
+		x.reportCrash(g, err)
 		return x.classifyFailure(ctx, g, err)
 	}
 	defer answer.Close()
@@ -332,6 +333,7 @@
 		err = errTooLong
 	}
 	if err != nil {
+		x.reportCrash(g, err)
 		return x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: err})
 	}
 	if more {
@@ -342,6 +344,7 @@
 		x.endGrant(g, crhealth.Failed)
 		return result{verdict: failed, answer: buffered}
 	}
+	x.markAnswered(g)
 	x.endGrant(g, crhealth.Good)
 	x.writeAnswer(buffered)
 	return result{verdict: done}
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -65,6 +65,7 @@
 			}
 			m.abandon(nil)
 			if next := m.await(); next != nil {
+				x.reportCrash(g, s.err)
 				x.classifyFailure(ctx, g, s.err)
 				return *next, nil
 			}
@@ -229,6 +230,7 @@
 				g.Drop(time.Now())
 				return nil
 			}
+			x.reportCrash(g, err)
 			if x.classifyFailure(ctx, g, err).verdict == unknown {
 				x.trace.mayHaveRun = true
 			}
@@ -261,6 +263,7 @@
 					g.Drop(time.Now())
 					return nil
 				}
+				x.reportCrash(g, err)
 				x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: err})
 				continue
 			}
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -50,6 +50,7 @@
 		next, err := s.copy(ctx, g, answer)
 		answer.Close()
 		if err == nil && next == nil {
+			x.markAnswered(g)
 			x.endGrant(g, crhealth.Good)
 			x.trace.recordEnd(answer.Status, "answered", nil)
 			return result{verdict: done}
@@ -63,6 +64,7 @@
 			x.abort("caller-left", s.writeErr)
 		}
 		x.trace.lastErr = err
+		x.reportCrash(g, err)
 		if ctx.Err() != nil {
 			g.Drop(time.Now())
 		} else {
@@ -143,6 +145,7 @@
 	go readChunks(answer.Body, chunks, ended)
 	monitor := s.newStallMonitor(g, firstStallCheck)
 	defer monitor.stop()
+	firstEvent := time.Time{}
 	flushTimer, interval := time.NewTimer(0), s.coalesceInterval()
 	defer flushTimer.Stop()
 	for {
@@ -166,6 +169,11 @@
 			events, err := s.splitter.Write(c.data)
 			if len(events) > 0 {
 				monitor.progress()
+				if firstEvent.IsZero() {
+					firstEvent = time.Now()
+				} else if time.Since(firstEvent) >= answerSettleTime {
+					s.markAnswered(g)
+				}
 			}
 			s.pending = append(s.pending, events...)
 			if err == nil && !s.reserveMemory(s.splitter.Len()) {
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -305,12 +305,12 @@
 		l.Log.Warn("link: can't fetch a peer's contexts", zap.String("instance", from.Name), zap.Error(err))
 		return
 	}
+	l.State.ApplyContexts(time.Now(), m.GetContexts())
 	count := len(m.GetContexts().GetContexts())
 	if count == 0 {
 		l.contextsFetched.Store(false)
 		return
 	}
-	l.State.ApplyContexts(time.Now(), m.GetContexts())
 	l.Log.Info("link: took over a peer's contexts", zap.String("instance", from.Name), zap.Int("contexts", count))
 }
 
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -26,6 +26,7 @@
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crledger"
 	"crocusrack/core/crliveness"
+	"crocusrack/core/crquarantine"
 	"crocusrack/core/crrollout"
 	"crocusrack/core/crsettings"
 	"crocusrack/io/crforward"
@@ -149,13 +150,14 @@
 			Name: s.Instance, FailureDomain: s.FailureDomain, Front: s.Front, Peer: s.Peer,
 			Millicores: uint32(s.CPUShare * 1000),
 		},
-		Run:       r.RunNumber,
-		Retries:   crgrant.RetryLimit{Share: s.RetryShare, ExtraPerWindow: s.RetrySlack, Window: s.RetryWindow},
-		Elapsed:   r.Elapsed,
-		Disabled:  s.Disabled,
-		Rollouts:  crrollout.Limits{Share: s.RolloutShare, Slack: s.RolloutSlack},
-		OnRollout: r.logRollout,
-		OnUrgent:  func() { r.link.ReportNow() },
+		Run:          r.RunNumber,
+		Retries:      crgrant.RetryLimit{Share: s.RetryShare, ExtraPerWindow: s.RetrySlack, Window: s.RetryWindow},
+		Elapsed:      r.Elapsed,
+		Disabled:     s.Disabled,
+		Rollouts:     crrollout.Limits{Share: s.RolloutShare, Slack: s.RolloutSlack},
+		OnRollout:    r.logRollout,
+		OnQuarantine: r.logQuarantines,
+		OnUrgent:     func() { r.link.ReportNow() },
 	}
 	r.hop = &crhop.Client{OnConnect: func() { r.Metrics.Connections.Add(1) }, MaxHeaderBytes: s.AnswerHeadBytes}
 	r.forwarder = &crforward.Forwarder{
@@ -206,6 +208,11 @@
 		zap.Duration("age-ms", e.Age), zap.Float64("evidence", e.Evidence), zap.Float64("answers-of-target", e.Trial))
 }
 
+// logQuarantines logs the quarantined parts of prompts.
+func (r *Router) logQuarantines(list []crquarantine.Quarantine) {
+	r.Log.Warn("quarantine: the parts of prompts that are kept from endpoints changed", zap.Any("quarantines", list))
+}
+
 // Reload takes over what may change while the daemon runs: the seeds.
 func (r *Router) Reload(s crsettings.Router) {
 	r.link.SetSeeds(s.Seeds)
