Take an unframed stream that ends inside an event for broken off

Cause: the end of the body was taken for the end of the answer, whatever marks it, and what was left of an event was written.

Change: without a length or chunks, a stream that ends inside an event, or before its first one unless it continues after an event, has broken off. It goes on at another endpoint where its route allows it, and is cut, or answered 502 if nothing was passed on, where not. A framed body ends as before.

--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -183,6 +183,9 @@
 			case err != nil:
 				err = errors.Join(err, s.flush(answer))
 				return monitor.await(), err
+			case c.err == io.EOF && !answer.Framed() && s.insideEvent(!firstEvent.IsZero()):
+				err := errors.Join(io.ErrUnexpectedEOF, s.flush(answer))
+				return monitor.await(), err
 			case c.err == io.EOF:
 				// This also writes the header of an answer without events.
 				return nil, s.write(answer, append(s.pending, s.splitter.Rest()...))
@@ -199,6 +202,13 @@
 	}
 }
 
+// insideEvent reports whether a stream that ends now ends inside an event, or before the
+// first one of a stream from the start.
+func (s *streamCopier) insideEvent(hasEvents bool) bool {
+	_, resumed := s.splitter.Last()
+	return s.splitter.Len() > 0 || !hasEvents && !resumed
+}
+
 // errNoMemory ends a stream whose unfinished event doesn't fit in the memory limit.
 var errNoMemory = errors.New("no memory is left for an event")
 
--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -154,6 +154,12 @@
 	return nil, errHeadTooLong
 }
 
+// Framed reports whether a length or chunks mark the end of the body. Otherwise the body
+// ends with its connection, and may be incomplete without an error.
+func (a *Answer) Framed() bool {
+	return a.Length >= 0 || strings.EqualFold(strings.Join(a.response.TransferEncoding, ","), "chunked")
+}
+
 // Read reads from the body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
@@ -186,10 +192,7 @@
 
 // reusable reports whether the connection may carry another request.
 func (a *Answer) reusable() bool {
-	if !a.bodyEnded || a.response.Close || a.conn.reader.Buffered() > 0 {
-		return false
-	}
-	if a.Length < 0 && !strings.EqualFold(strings.Join(a.response.TransferEncoding, ","), "chunked") {
+	if !a.bodyEnded || !a.Framed() || a.response.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
