Keep the first attempt of an idempotent request until another one is answered

Callers got 502 although their endpoint would have answered: an idempotent request that was unanswered after 2.5 times its target was ended there, before it was known that another endpoint would take it. With a target of 100 ms and an endpoint that takes 300 ms, a fleet with that endpoint alone answered 502 after 266 ms.

Change: when the wait is over, the request gets a successor beside the first attempt, by the same crretry.Succession. The one that is answered later is canceled.

Evidence: both rows of TestEarlyRepeatDoesNotEndTheFirstAttempt fail before (502) and pass after.

--- a/core/crretry/succession.go
+++ b/core/crretry/succession.go
@@ -81,3 +81,13 @@
 	s.pending = true
 	return Succeed
 }
+
+// Overdue asks for a successor at once. The caller cancels a pending probe, and doesn't call
+// Overdue while a successor is pending.
+func (s *Succession) Overdue() Step {
+	s.probed, s.pending = true, false
+	if !s.Repeatable {
+		return Wait
+	}
+	return s.succeed()
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -224,8 +224,8 @@
 	return answer.Status < http.StatusMultipleChoices && !x.Codec.Genuine(answer.Header)
 }
 
-// waitLimit returns the longest wait for the answer to the first attempt of an idempotent
-// request, so that another endpoint can still answer in time. Zero means no limit.
+// waitLimit returns how long the first attempt of an idempotent request may be unanswered
+// before it gets a successor, which can then still answer in time. Zero means no limit.
 func (x *exchange) waitLimit() time.Duration {
 	if x.route.Kind != crroute.Idempotent || x.sent.Load() > 0 || x.route.MaxAttempts < 2 || x.Disabled.Has(crswitch.EarlyRepeats) {
 		return 0
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -31,8 +31,7 @@
 // sendWatched sends a request and returns the first answer. While the endpoint is silent,
 // a successor may be sent to another endpoint; the attempt that is answered later is
 // canceled. The returned grant is that of the answer, or the given one if there is an
-// error. The limit bounds the wait for the first answer, but neither that for a successor's
-// nor the reading of a body; zero means no limit.
+// error. The successor is sent after the limit at the latest; zero means no limit.
 func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string, limit time.Duration) (attemptAnswer, error) {
 	type sent struct {
 		answer *crhop.Answer
@@ -54,14 +53,13 @@
 	for {
 		select {
 		case <-overdue:
-			cancel(context.DeadlineExceeded)
-		case s := <-first:
-			if s.err == nil && context.Cause(sendCtx) == nil {
-				return attemptAnswer{g, s.answer}, nil
+			if m.pursuits == nil || m.probing {
+				m.discard()
+				m.take(ctx, m.succession.Overdue(), lastEvent)
 			}
+		case s := <-first:
 			if s.err == nil {
-				s.answer.Close()
-				s.err = &crhop.Error{Sent: true, Cause: context.Cause(sendCtx)}
+				return attemptAnswer{g, s.answer}, nil
 			}
 			m.abandon(nil)
 			if next := m.await(); next != nil {
--- a/io/crforward/successor_test.go
+++ b/io/crforward/successor_test.go
@@ -95,3 +95,27 @@
 		time.Sleep(time.Second)
 	}, slow, slow)
 }
+
+// TestEarlyRepeatDoesNotEndTheFirstAttempt checks idempotent requests that take longer than
+// the wait for their first answer while no other endpoint takes them.
+func TestEarlyRepeatDoesNotEndTheFirstAttempt(t *testing.T) {
+	for _, endpoints := range []int{1, 2} {
+		var arrived atomic.Int64
+		either := func(w http.ResponseWriter, q *http.Request) {
+			if arrived.Add(1) > 1 {
+				refuse(w, q)
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+			good(w, q)
+		}
+		runFixture(t, func(r *fixture) {
+			got, _ := r.send(r.t.Context(), "/read/", "")
+			if diff := cmp.Diff(answer{200, "ok", false}, got); diff != "" || r.arrived() != endpoints {
+				t.Errorf("%d endpoints: arrivals %q (-want +got):\n%s", endpoints, r.arrivals, diff)
+			}
+			// Wait until the endpoint's handler has ended.
+			time.Sleep(time.Second)
+		}, []http.HandlerFunc{either, either}[:endpoints]...)
+	}
+}
