Bound how often instances repeat their evidence of crashes

Two instances whose quarantines differ for good, for example because the evidence of one exceeds what a message holds, told each other all of it in each report, some KB each. Now a difference with one sender is answered once in 15 s unless it changes, and the crashes from which quarantines follow are told and kept first. Found by reading, not measured; the tests of crquarantine and crgrant pass.

--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -209,7 +209,7 @@
 	}
 	s.applyLeaving(now, m.GetLeavingEndpoints())
 	s.applyEvidence(now, m.GetCrashEvidence())
-	s.compareQuarantines(now, m.Quarantines)
+	s.compareQuarantines(now, domainSourcePrefix+m.GetFailureDomain(), m.Quarantines)
 	return nil
 }
 
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -88,6 +88,8 @@
 	quarantine crquarantine.Table
 	// quarantineHash is the hash of the quarantines that OnQuarantine was called with last.
 	quarantineHash uint64
+	// differences holds the last differences of quarantines by the sender of the message.
+	differences map[string]difference
 	// rolloutsRevision is the revision of the orders in rollouts.
 	rolloutsRevision uint64
 	retryBudgets     map[string]*crretry.Budget
--- a/core/crgrant/quarantine.go
+++ b/core/crgrant/quarantine.go
@@ -100,12 +100,37 @@
 	s.quarantinesChanged(now)
 }
 
+// difference is a difference between the quarantines of another instance or failure domain
+// and the own ones.
+type difference struct {
+	own, other uint64
+	toldAt     time.Time
+}
+
+const (
+	// tellAgainAfter is when all evidence is told again to an instance that still has the same
+	// other quarantines.
+	tellAgainAfter = 15 * time.Second
+	// maxDifferences bounds the differences that are remembered.
+	maxDifferences = 4096
+)
+
 // compareQuarantines has all evidence told if the sender of a message has other quarantines.
 // The hash is nil if the sender is of a release that knows none.
-func (s *State) compareQuarantines(now time.Time, hash *uint64) {
-	if hash != nil && *hash != s.quarantine.Hash(now) {
-		s.quarantine.Differs(now)
+func (s *State) compareQuarantines(now time.Time, from string, hash *uint64) {
+	own := s.quarantine.Hash(now)
+	if hash == nil || *hash == own {
+		return
+	}
+	last, told := s.differences[from]
+	if told && last.own == own && last.other == *hash && now.Sub(last.toldAt) < tellAgainAfter {
+		return
+	}
+	if s.differences == nil || len(s.differences) >= maxDifferences {
+		s.differences = make(map[string]difference)
 	}
+	s.differences[from] = difference{own, *hash, now}
+	s.quarantine.Differs(now)
 }
 
 // quarantinesProto returns the hash of the quarantines as messages carry it.
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -355,7 +355,7 @@
 	})
 	if fresh {
 		s.applyEcho(from.Name, m)
-		s.compareQuarantines(now, m.Quarantines)
+		s.compareQuarantines(now, from.Name, m.Quarantines)
 	}
 	return fresh
 }
--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -105,6 +105,8 @@
 type crash struct {
 	Crash
 	learned time.Time
+	// supports is true if a quarantine follows from the crash.
+	supports bool
 }
 
 type learnedAnswer struct {
@@ -189,16 +191,11 @@
 // told for a while.
 func (t *Table) Differs(now time.Time) { t.repeatUntil = now.Add(newsTime) }
 
-// News returns the evidence to tell other instances now, the newest first: what was learned
-// lately, or all of it after Differs.
+// News returns the evidence to tell other instances now: what was learned lately, or all of
+// it after Differs. Evidence for quarantines comes first, and then the newest.
 func (t *Table) News(now time.Time) Evidence {
 	all := now.Before(t.repeatUntil)
-	var e Evidence
-	for _, c := range slices.Backward(t.crashes) {
-		if len(e.Crashes) < maxNewsCrashes && (all || now.Sub(c.learned) < newsTime) {
-			e.Crashes = append(e.Crashes, c.Crash)
-		}
-	}
+	e := Evidence{Crashes: t.crashesFor(func(c *crash) bool { return all || now.Sub(c.learned) < newsTime })}
 	if all {
 		e.Answers = t.answersFor(e.Crashes)
 		return e
@@ -211,18 +208,26 @@
 	return e
 }
 
-// All returns the evidence for an instance that has none, the newest first.
+// All returns the evidence for an instance that has none, in the order of News.
 func (t *Table) All() Evidence {
-	var e Evidence
-	for _, c := range slices.Backward(t.crashes) {
-		if len(e.Crashes) < maxNewsCrashes {
-			e.Crashes = append(e.Crashes, c.Crash)
-		}
-	}
+	e := Evidence{Crashes: t.crashesFor(func(*crash) bool { return true })}
 	e.Answers = t.answersFor(e.Crashes)
 	return e
 }
 
+// crashesFor returns up to maxNewsCrashes of the crashes for which tell returns true.
+func (t *Table) crashesFor(tell func(*crash) bool) []Crash {
+	var list []Crash
+	for _, supports := range []bool{true, false} {
+		for _, c := range slices.Backward(t.crashes) {
+			if c.supports == supports && len(list) < maxNewsCrashes && tell(c) {
+				list = append(list, c.Crash)
+			}
+		}
+	}
+	return list
+}
+
 // answersFor returns the answers that clear parts of the given crashes.
 func (t *Table) answersFor(crashes []Crash) []Answer {
 	var list []Answer
@@ -273,7 +278,7 @@
 	if now.Sub(c.At) >= memoryTime || slices.ContainsFunc(t.crashes, known) {
 		return false
 	}
-	added := &crash{c, now}
+	added := &crash{Crash: c, learned: now}
 	suspect := false
 	for _, p := range c.Parts {
 		if at, ok := t.answered.Get(p); ok && clears(at, c.At) {
@@ -307,6 +312,9 @@
 		return now.Sub(c.At) >= memoryTime || !slices.ContainsFunc(c.Parts, func(p Part) bool { return t.isSuspect(p, c) })
 	})
 	t.quarantines = nil
+	for _, c := range t.crashes {
+		c.supports = false
+	}
 	explained := make(map[uint64]bool)
 	for {
 		involved := t.involved(explained)
@@ -322,14 +330,14 @@
 		}
 		q := Quarantine{Parts: t.common(involved[best]), Crashes: bestCount}
 		for _, c := range involved[best] {
-			explained[c.Endpoint] = true
+			explained[c.Endpoint], c.supports = true, true
 			if until := c.At.Add(blockTime); until.After(q.Until) {
 				q.Until = until
 			}
 		}
 		t.quarantines = append(t.quarantines, q)
 	}
-	t.evict(explained)
+	t.evict()
 	t.suspects = make(map[Part]int)
 	for _, c := range t.crashes {
 		for _, p := range c.Parts {
@@ -393,11 +401,11 @@
 	return slices.Compact(parts)
 }
 
-// evict drops the oldest crashes beyond maxCrashes, those that a quarantine explains last.
-func (t *Table) evict(explained map[uint64]bool) {
+// evict drops the oldest crashes beyond maxCrashes, those that support a quarantine last.
+func (t *Table) evict() {
 	extra := len(t.crashes) - maxCrashes
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
-		drop := extra > 0 && !explained[c.Endpoint]
+		drop := extra > 0 && !c.supports
 		if drop {
 			extra--
 		}
