Tell evidence of quarantines first, in messages that fit, and keep its time

Answers told back and forth became later by the time on the way each time, until they cleared crashes that they preceded by far. Prompts of hundreds of parts made reports longer than a datagram.

--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -39,9 +39,14 @@
 	// maxCrashes bounds the crashes, and maxAnswered the answered parts, that are kept.
 	maxCrashes  = 512
 	maxAnswered = 8192
-	// maxNewsCrashes and maxNewsAnswers bound what is told at a time.
+	// maxNewsCrashes and maxNewsAnswers, and maxNewsParts for the parts of all crashes, bound
+	// what is told at a time. A datagram has room for them.
 	maxNewsCrashes = 48
 	maxNewsAnswers = 96
+	maxNewsParts   = 2000
+	// maxWayTime is how much later than it was an answer may seem to another instance, which
+	// doesn't know the time on the way.
+	maxWayTime = 500 * time.Millisecond
 )
 
 // Part identifies a part of the prompts of a service.
@@ -177,6 +182,10 @@
 func (t *Table) Apply(now time.Time, e Evidence) {
 	changed := false
 	for _, a := range e.Answers {
+		// Told back and forth, an answer would become later each time.
+		if at, known := t.answered.Get(a.Part); known && a.At.Sub(at) < maxWayTime {
+			continue
+		}
 		changed = t.addAnswer(now, a) || changed
 	}
 	for _, c := range e.Crashes {
@@ -191,11 +200,11 @@
 // told for a while.
 func (t *Table) Differs(now time.Time) { t.repeatUntil = now.Add(newsTime) }
 
-// News returns the evidence to tell other instances now: what was learned lately, or all of
-// it after Differs. Evidence for quarantines comes first, and then the newest.
+// News returns the evidence to tell other instances now, that of quarantines first and the
+// newest first: what was learned lately, or all of it after Differs.
 func (t *Table) News(now time.Time) Evidence {
 	all := now.Before(t.repeatUntil)
-	e := Evidence{Crashes: t.crashesFor(func(c *crash) bool { return all || now.Sub(c.learned) < newsTime })}
+	e := Evidence{Crashes: t.tell(func(c *crash) bool { return all || now.Sub(c.learned) < newsTime })}
 	if all {
 		e.Answers = t.answersFor(e.Crashes)
 		return e
@@ -210,18 +219,24 @@
 
 // All returns the evidence for an instance that has none, in the order of News.
 func (t *Table) All() Evidence {
-	e := Evidence{Crashes: t.crashesFor(func(*crash) bool { return true })}
-	e.Answers = t.answersFor(e.Crashes)
-	return e
+	crashes := t.tell(func(*crash) bool { return true })
+	return Evidence{Crashes: crashes, Answers: t.answersFor(crashes)}
 }
 
-// crashesFor returns up to maxNewsCrashes of the crashes for which tell returns true.
-func (t *Table) crashesFor(tell func(*crash) bool) []Crash {
+// tell returns as many of the wanted crashes as may be told at a time. Those from which a
+// quarantine follows come first: the loss of a failure domain adds hundreds of others, and
+// instances that were told only of these would not learn of the quarantine.
+func (t *Table) tell(wanted func(*crash) bool) []Crash {
 	var list []Crash
-	for _, supports := range []bool{true, false} {
+	parts := 0
+	for _, quarantined := range []bool{true, false} {
 		for _, c := range slices.Backward(t.crashes) {
-			if c.supports == supports && len(list) < maxNewsCrashes && tell(c) {
+			if len(list) >= maxNewsCrashes {
+				return list
+			}
+			if parts+len(c.Parts) <= maxNewsParts && wanted(c) && c.supports == quarantined {
 				list = append(list, c.Crash)
+				parts += len(c.Parts)
 			}
 		}
 	}
