Let only successful answers, and those of any length, clear parts of prompts

An endpoint's 4xx, or a stream without an event, released a part on which endpoints crash: each of them took back the crashes counted so far. A plain answer of over 256 KB cleared nothing, so that sound parts of such prompts were quarantined.

Evidence: TestOnlyAnswersOfEnginesClearParts (7 crashes, 4 allowed) and TestLongAnswersClearParts (sound requests got 503) fail before and pass after; -race -count=2 of the package passes.

--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -62,3 +62,78 @@
 		}
 	}
 }
+
+// TestOnlyAnswersOfEnginesClearParts checks that an answer that no engine made by reading the
+// prompt doesn't release a part on which endpoints crash.
+func TestOnlyAnswersOfEnginesClearParts(t *testing.T) {
+	const endpoints = 8
+	var rigged *fixture
+	crashes := 0
+	handler := func(i int) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			switch id := q.Header.Get("Id"); {
+			case strings.HasPrefix(id, "wrong"):
+				w.WriteHeader(http.StatusUnprocessableEntity)
+				return
+			case strings.HasPrefix(id, "empty"):
+				return
+			}
+			crashes++
+			rigged.servers[i].Close()
+		}
+	}
+	var handlers []http.HandlerFunc
+	for i := range endpoints {
+		handlers = append(handlers, handler(i))
+	}
+	runFixture(t, func(r *fixture) {
+		rigged = r
+		r.forwarder.MaxKeyAge = time.Hour
+		routing := testRouting()
+		routing.Version, routing.Services[0].Engine = 2, true
+		r.state.SetRouting(routing)
+		for i := range 6 {
+			r.send(r.t.Context(), "/draft/", "", "Id", fmt.Sprint("wrong-", i), "Parts", fmt.Sprintf("system deadly wrong-%d", i))
+			r.send(r.t.Context(), "/reply/", "", "Id", fmt.Sprint("empty-", i), "Parts", fmt.Sprintf("system deadly empty-%d", i))
+			r.send(r.t.Context(), "/draft/", "", "Id", fmt.Sprint("deadly-", i), "Parts", fmt.Sprintf("system deadly own-%d", i))
+			time.Sleep(200 * time.Millisecond)
+		}
+	}, handlers...)
+	if crashes > 4 {
+		t.Errorf("%d crashes, want 4 at most", crashes)
+	}
+}
+
+// TestLongAnswersClearParts checks that the parts of prompts with answers too long to buffer
+// aren't taken for the cause of crashes.
+func TestLongAnswersClearParts(t *testing.T) {
+	var rigged *fixture
+	handler := func(i int) http.HandlerFunc {
+		return func(w http.ResponseWriter, q *http.Request) {
+			if strings.HasPrefix(q.Header.Get("Id"), "crash") {
+				rigged.servers[i].Close()
+				return
+			}
+			_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+		}
+	}
+	var handlers []http.HandlerFunc
+	for i := range 16 {
+		handlers = append(handlers, handler(i))
+	}
+	runFixture(t, func(r *fixture) {
+		rigged = r
+		r.forwarder.MaxKeyAge = time.Hour
+		routing := testRouting()
+		routing.Version, routing.Services[0].Engine = 2, true
+		r.state.SetRouting(routing)
+		for i := range 4 {
+			r.send(r.t.Context(), "/read/", "", "Id", fmt.Sprint("crash-", i), "Parts", fmt.Sprintf("system own-%d", i))
+			time.Sleep(200 * time.Millisecond)
+			got, _ := r.send(r.t.Context(), "/read/", "", "Id", fmt.Sprint("long-", i), "Parts", fmt.Sprintf("system long-%d", i))
+			if got.Status != http.StatusOK {
+				t.Errorf("a request with a part that is answered got %d %q", got.Status, got.Body[:min(len(got.Body), 30)])
+			}
+		}
+	}, handlers...)
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -344,7 +344,10 @@
 		x.endGrant(g, crhealth.Failed)
 		return result{verdict: failed, answer: buffered}
 	}
-	x.markAnswered(g)
+	if answer.Status < http.StatusMultipleChoices {
+		// The engine need not have read the prompt for another answer.
+		x.markAnswered(g)
+	}
 	x.endGrant(g, crhealth.Good)
 	x.writeAnswer(buffered)
 	return result{verdict: done}
@@ -407,6 +410,9 @@
 		x.classifyFailure(ctx, g, err)
 		x.abort("answer-cut", err)
 	}
+	if answer.Status < http.StatusMultipleChoices {
+		x.markAnswered(g)
+	}
 	x.endGrant(g, crhealth.Good)
 	x.trace.recordEnd(answer.Status, "answered", nil)
 	return result{verdict: done}
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -50,7 +50,6 @@
 		next, err := s.copy(ctx, g, answer)
 		answer.Close()
 		if err == nil && next == nil {
-			x.markAnswered(g)
 			x.endGrant(g, crhealth.Good)
 			x.trace.recordEnd(answer.Status, "answered", nil)
 			return result{verdict: done}
@@ -187,6 +186,9 @@
 				err := errors.Join(io.ErrUnexpectedEOF, s.flush(answer))
 				return monitor.await(), err
 			case c.err == io.EOF:
+				if !firstEvent.IsZero() {
+					s.markAnswered(g)
+				}
 				// This also writes the header of an answer without events.
 				return nil, s.write(answer, append(s.pending, s.splitter.Rest()...))
 			case c.err != nil:
