Compute quarantines only when a crash may change them

Each request that waited at a lost endpoint had all quarantines computed anew under the lock that all requests need: 383 ms for the 500 of a lost failure domain, at each instance. A crash now does so only if it gives one of its parts enough separate crashes; parts in fewer than three are left out.

--- a/core/crquarantine/exchange_test.go
+++ b/core/crquarantine/exchange_test.go
@@ -1,6 +1,7 @@
 package crquarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -108,3 +109,35 @@
 		t.Errorf("%d crashes with %d parts are told, want some but not over 2000 parts", len(e.Crashes), n)
 	}
 }
+
+// TestCrashesOfManyRequestsCostLittle records the requests that waited at endpoints which are
+// lost at the same moment. They are recorded under a lock that all requests need.
+func TestCrashesOfManyRequestsCostLittle(t *testing.T) {
+	const maxAllocations = 50_000
+	n := testing.AllocsPerRun(1, func() {
+		var table crquarantine.Table
+		for i := range 500 {
+			c := crquarantine.Crash{At: at(i / 10), Request: uint64(i), Endpoint: uint64(i % 20), Parts: parts("system", fmt.Sprint("tenant-", i%20))}
+			for k := range 8 {
+				c.Parts = append(c.Parts, crquarantine.Part(100*i+k))
+			}
+			table.RecordCrash(c.At, c)
+		}
+	})
+	if n > maxAllocations {
+		t.Errorf("%.0f allocations for 500 crashes, want %d at most", n, maxAllocations)
+	}
+}
+
+func BenchmarkRecordCrash(b *testing.B) {
+	for range b.N {
+		var table crquarantine.Table
+		for i := range 500 {
+			c := crquarantine.Crash{At: at(i / 10), Request: uint64(i), Endpoint: uint64(i % 20), Parts: parts("system", fmt.Sprint("tenant-", i%20))}
+			for k := range 8 {
+				c.Parts = append(c.Parts, crquarantine.Part(100*i+k))
+			}
+			table.RecordCrash(c.At, c)
+		}
+	}
+}
--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -174,7 +174,9 @@
 	if !t.addCrash(now, c) {
 		return false
 	}
-	t.update(now)
+	if t.matters(c) {
+		t.update(now)
+	}
 	return true
 }
 
@@ -189,7 +191,7 @@
 		changed = t.addAnswer(now, a) || changed
 	}
 	for _, c := range e.Crashes {
-		changed = t.addCrash(now, c) || changed
+		changed = t.addCrash(now, c) && t.matters(c) || changed
 	}
 	if changed {
 		t.update(now)
@@ -306,9 +308,35 @@
 		return false
 	}
 	t.crashes = append(t.crashes, added)
+	if t.suspects == nil {
+		t.suspects = make(map[Part]int)
+	}
+	for _, p := range c.Parts {
+		t.suspects[p]++
+	}
 	return true
 }
 
+// matters reports whether quarantines may change by a crash that was just added. Those of
+// the many requests at endpoints that are lost at the same moment don't.
+func (t *Table) matters(c Crash) bool {
+	if len(t.quarantines) > 0 || len(t.crashes) > maxCrashes {
+		return true
+	}
+	return slices.ContainsFunc(c.Parts, func(p Part) bool {
+		if t.suspects[p] < minCrashes {
+			return false
+		}
+		var list []*crash
+		for _, o := range t.crashes {
+			if slices.Contains(o.Parts, p) && t.isSuspect(p, o) {
+				list = append(list, o)
+			}
+		}
+		return separateCrashes(list) >= minCrashes
+	})
+}
+
 // clears reports whether an answer that began at one time shows that its parts didn't cause
 // the crash at another.
 func clears(answer, crash time.Time) bool { return answer.After(crash.Add(-answerLead)) }
@@ -362,7 +390,7 @@
 }
 
 // involved returns the crashes that aren't explained for each part that may have caused
-// them.
+// them and is in enough of them.
 func (t *Table) involved(explained map[uint64]bool) map[Part][]*crash {
 	m := make(map[Part][]*crash)
 	for _, c := range t.crashes {
@@ -370,7 +398,7 @@
 			continue
 		}
 		for _, p := range c.Parts {
-			if t.isSuspect(p, c) {
+			if t.suspects[p] >= minCrashes && t.isSuspect(p, c) {
 				m[p] = append(m[p], c)
 			}
 		}
