Keep the evidence of crashes in the store without rewriting it for its age

The ages in a checkpoint change all the time: each instance that writes it made a call to the store every 2 s for two hours after a crash (301 in 10 min). Evidence without contexts was written but not read.

--- a/io/crwatch/checkpoint.go
+++ b/io/crwatch/checkpoint.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +19,9 @@
 	checkpointPause = 2 * time.Second
 	// checkpointRate bounds the checkpoints, in bytes per second.
 	checkpointRate = 5000
+	// agedCheckpointPause is the pause between two checkpoints that differ only by the age of
+	// the evidence of crashes.
+	agedCheckpointPause = time.Minute
 	// loadAttempts is the number of attempts of a starting instance to read a checkpoint.
 	loadAttempts = 4
 )
@@ -36,18 +40,22 @@
 func (w *Watcher) keepContexts(ctx context.Context) {
 	w.loadContexts(ctx)
 	var written []byte
+	var writtenAt time.Time
 	pause := checkpointPause
 	for crbackoff.Sleep(ctx, pause) == nil {
 		pause = checkpointPause
 		if !w.State.WritesStore(time.Now()) {
 			continue
 		}
-		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(w.State.Contexts(time.Now()))
-		if err != nil {
+		m := w.State.Contexts(time.Now())
+		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+		ageless, agelessErr := proto.MarshalOptions{Deterministic: true}.Marshal(withoutAges(m))
+		if err = errors.Join(err, agelessErr); err != nil {
 			w.Log.Error("watch: contexts can't be encoded", zap.Error(err))
 			continue
 		}
-		if len(data) == 0 || bytes.Equal(data, written) {
+		aged := m.CrashEvidence != nil && time.Since(writtenAt) >= agedCheckpointPause
+		if len(data) == 0 || bytes.Equal(ageless, written) && !aged {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -57,11 +65,23 @@
 			w.failed(ctx, err)
 			continue
 		}
-		written = data
+		written, writtenAt = ageless, time.Now()
 		pause = max(pause, time.Duration(len(data))*time.Second/checkpointRate)
 	}
 }
 
+// withoutAges returns the message without the ages in it, which change all the time.
+func withoutAges(m *pb.Contexts) *pb.Contexts {
+	m = proto.CloneOf(m)
+	for _, c := range m.GetCrashEvidence().GetCrashes() {
+		c.AgeMs = 0
+	}
+	for _, a := range m.GetCrashEvidence().GetAnswers() {
+		a.AgeMs = 0
+	}
+	return m
+}
+
 // loadContexts loads the checkpoint, unless another instance has sent the contexts by then.
 func (w *Watcher) loadContexts(ctx context.Context) {
 	if crbackoff.Sleep(ctx, w.Patience) != nil || w.State.HasContexts() {
@@ -89,7 +109,7 @@
 		w.Log.Warn("watch: kept contexts are not readable", zap.Error(err))
 		return
 	}
-	if len(m.GetContexts()) == 0 {
+	if len(m.GetContexts()) == 0 && m.CrashEvidence == nil {
 		return
 	}
 	w.State.ApplyContexts(time.Now(), m)
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -32,6 +32,8 @@
 	routing   *pb.Routing
 	calls     int
 	kept      []byte
+	// saves counts the checkpoints.
+	saves int
 }
 
 func (s *store) do(f func()) {
@@ -90,7 +92,7 @@
 		Instances: feed(s, func() []crwatch.Change[crliveness.Instance] { return nil }),
 		Register:  func(context.Context, crliveness.Instance) error { return nil },
 		Contexts: crwatch.Checkpoint{
-			Save: func(_ context.Context, data []byte) error { s.kept = data; return nil },
+			Save: func(_ context.Context, data []byte) error { s.kept, s.saves = data, s.saves+1; return nil },
 			Load: func(context.Context) ([]byte, error) { return s.kept, nil },
 		},
 		Log:     zap.NewNop(),
