Quarantine no part while its service answers nobody, and clear parts for good

Callers of a service could be kept from it for ten minutes after an outage: three endpoints that crash one after the other while no answer begins made the part that all prompts share look deadly, and nothing could release it, as no such prompt may run.

- A part is quarantined only if an answer of its service began since two seconds before the last of its crashes.
Crashes carry their service, and its last answer is told with them.
- An answer removes the part from the crashes that it clears.
Before, a part was a suspect again once the answer had been pushed out by 8,192 others.
- An endpoint that restarts with the incarnation that it had may crash again: crashes of one endpoint count separately if a second lies between them.
- A crash is confirmed by up to three probes within 0.3 s, which all requests that waited at the endpoint share.
Before, each made one at once.
- At most 16 quarantines are in force, and 64 parts of a prompt are looked at.
- An answer without a length or chunks clears nothing by its end.

--- a/core/crgrant/quarantine.go
+++ b/core/crgrant/quarantine.go
@@ -17,7 +17,7 @@
 		return
 	}
 	g.answered = true
-	if s.quarantine.RecordAnswer(now, g.parts) {
+	if s.quarantine.RecordAnswer(now, crquarantine.ServicePart(g.Endpoint.Service), g.parts) {
 		s.quarantinesChanged(now)
 	}
 }
@@ -31,7 +31,10 @@
 	if g.answered || len(g.parts) == 0 {
 		return
 	}
-	c := crquarantine.Crash{At: now, Request: request, Endpoint: uint64(g.Endpoint.Key), Parts: g.parts}
+	c := crquarantine.Crash{
+		At: now, Request: request, Endpoint: uint64(g.Endpoint.Key),
+		Service: crquarantine.ServicePart(g.Endpoint.Service), Parts: g.parts,
+	}
 	if s.quarantine.RecordCrash(now, c) {
 		s.quarantinesChanged(now)
 		s.signalUrgent()
@@ -65,7 +68,7 @@
 	}
 	m := &pb.CrashEvidence{}
 	for _, c := range e.Crashes {
-		crash := &pb.PromptCrash{Request: c.Request, Endpoint: c.Endpoint, AgeMs: ageMs(now, c.At)}
+		crash := &pb.PromptCrash{Request: c.Request, Endpoint: c.Endpoint, Service: uint64(c.Service), AgeMs: ageMs(now, c.At)}
 		for _, p := range c.Parts {
 			crash.Parts = append(crash.Parts, uint64(p))
 		}
@@ -87,7 +90,7 @@
 	at := func(ageMs uint32) time.Time { return now.Add(-time.Duration(ageMs) * time.Millisecond) }
 	var e crquarantine.Evidence
 	for _, c := range m.GetCrashes() {
-		crash := crquarantine.Crash{At: at(c.GetAgeMs()), Request: c.GetRequest(), Endpoint: c.GetEndpoint()}
+		crash := crquarantine.Crash{At: at(c.GetAgeMs()), Request: c.GetRequest(), Endpoint: c.GetEndpoint(), Service: crquarantine.Part(c.GetService())}
 		for _, p := range c.GetParts() {
 			crash.Parts = append(crash.Parts, crquarantine.Part(p))
 		}
--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -34,6 +34,11 @@
 	// memoryTime is how long crashes count as evidence. It is longer than blockTime, so that
 	// one more crash is enough to quarantine a part again.
 	memoryTime = 2 * time.Hour
+	// restartTime is the shortest time between two crashes of an endpoint. It may have the
+	// same id and incarnation after a restart until the new ones are known.
+	restartTime = time.Second
+	// maxQuarantines bounds the quarantines.
+	maxQuarantines = 16
 	// newsTime is how long evidence is repeated to other instances after it was learned.
 	newsTime = 3 * time.Second
 	// maxCrashes bounds the crashes, and maxAnswered the answered parts, that are kept.
@@ -55,6 +60,9 @@
 // PartOf returns the Part of a service's prompts with the given id.
 func PartOf(service, id string) Part { return Part(crhash.Mix(crhash.Of(service), crhash.Of(id))) }
 
+// ServicePart returns the Part that stands for all prompts of a service.
+func ServicePart(service string) Part { return PartOf(service, "") }
+
 // String returns the part in hexadecimal, as logs and dumps show it.
 func (p Part) String() string { return strconv.FormatUint(uint64(p), 16) }
 
@@ -65,9 +73,12 @@
 type Crash struct {
 	At time.Time
 	// Request is a hash of the request's id, and Endpoint that of the endpoint's id and
-	// incarnation. An incarnation crashes once at most.
+	// incarnation.
 	Request, Endpoint uint64
-	// Parts are the parts of the prompt that other prompts may have, too.
+	// Service is the ServicePart of the endpoint's service.
+	Service Part
+	// Parts are the parts of the prompt that other prompts may have, too, and that no answer
+	// has cleared.
 	Parts []Part
 }
 
@@ -100,6 +111,8 @@
 	// suspects counts for each part the crashes that it is involved in.
 	suspects map[Part]int
 	answered crrecent.Map[Part, time.Time]
+	// awaited holds the services on which an answer must begin before a part is quarantined.
+	awaited map[Part]bool
 	// news holds the answers that cleared a suspect, with the time when they were learned.
 	news        []learnedAnswer
 	quarantines []Quarantine
@@ -155,10 +168,10 @@
 	return sum
 }
 
-// RecordAnswer records that an answer to a prompt with the given parts has begun. It
-// reports whether that clears a suspect.
-func (t *Table) RecordAnswer(now time.Time, parts []Part) bool {
-	cleared := false
+// RecordAnswer records that an answer to a prompt of a service with the given parts has
+// begun. It reports whether quarantines may have changed.
+func (t *Table) RecordAnswer(now time.Time, service Part, parts []Part) bool {
+	cleared := t.addAnswer(now, Answer{service, now})
 	for _, p := range parts {
 		cleared = t.addAnswer(now, Answer{p, now}) || cleared
 	}
@@ -180,138 +193,73 @@
 	return true
 }
 
-// Apply adds the evidence of another instance.
-func (t *Table) Apply(now time.Time, e Evidence) {
-	changed := false
-	for _, a := range e.Answers {
-		// Told back and forth, an answer would become later each time.
-		if at, known := t.answered.Get(a.Part); known && a.At.Sub(at) < maxWayTime {
-			continue
-		}
-		changed = t.addAnswer(now, a) || changed
-	}
-	for _, c := range e.Crashes {
-		changed = t.addCrash(now, c) && t.matters(c) || changed
-	}
-	if changed {
-		t.update(now)
-	}
-}
-
-// Differs records that another instance has other quarantines, so that all evidence is
-// told for a while.
-func (t *Table) Differs(now time.Time) { t.repeatUntil = now.Add(newsTime) }
-
-// News returns the evidence to tell other instances now, that of quarantines first and the
-// newest first: what was learned lately, or all of it after Differs.
-func (t *Table) News(now time.Time) Evidence {
-	all := now.Before(t.repeatUntil)
-	e := Evidence{Crashes: t.tell(func(c *crash) bool { return all || now.Sub(c.learned) < newsTime })}
-	if all {
-		e.Answers = t.answersFor(e.Crashes)
-		return e
-	}
-	for _, a := range slices.Backward(t.news) {
-		if len(e.Answers) < maxNewsAnswers && now.Sub(a.learned) < newsTime {
-			e.Answers = append(e.Answers, a.Answer)
-		}
-	}
-	return e
-}
-
-// All returns the evidence for an instance that has none, in the order of News.
-func (t *Table) All() Evidence {
-	crashes := t.tell(func(*crash) bool { return true })
-	return Evidence{Crashes: crashes, Answers: t.answersFor(crashes)}
-}
-
-// tell returns as many of the wanted crashes as may be told at a time. Those from which a
-// quarantine follows come first: the loss of a failure domain adds hundreds of others, and
-// instances that were told only of these would not learn of the quarantine.
-func (t *Table) tell(wanted func(*crash) bool) []Crash {
-	var list []Crash
-	parts := 0
-	for _, quarantined := range []bool{true, false} {
-		for _, c := range slices.Backward(t.crashes) {
-			if len(list) >= maxNewsCrashes {
-				return list
-			}
-			if parts+len(c.Parts) <= maxNewsParts && wanted(c) && c.supports == quarantined {
-				list = append(list, c.Crash)
-				parts += len(c.Parts)
-			}
-		}
-	}
-	return list
-}
-
-// answersFor returns the answers that clear parts of the given crashes.
-func (t *Table) answersFor(crashes []Crash) []Answer {
-	var list []Answer
-	told := make(map[Part]bool)
-	for _, c := range crashes {
-		for _, p := range c.Parts {
-			if at, ok := t.answered.Get(p); ok && !told[p] && len(list) < maxNewsAnswers {
-				told[p] = true
-				list = append(list, Answer{p, at})
-			}
-		}
-	}
-	return list
-}
-
-// addAnswer adds an answer and reports whether it clears a part of a crash.
+// addAnswer adds an answer and reports whether quarantines may change by it.
 func (t *Table) addAnswer(now time.Time, a Answer) bool {
 	t.answered.Limit = maxAnswered
-	before, known := t.answered.Get(a.Part)
-	if known && !before.Before(a.At) {
+	if before, known := t.answered.Get(a.Part); known && !before.Before(a.At) {
 		return false
 	}
 	t.answered.Put(a.Part, a.At)
 	if t.suspects[a.Part] == 0 {
-		return false
+		return t.awaited[a.Part]
 	}
+	cleared := false
 	for _, c := range t.crashes {
-		if slices.Contains(c.Parts, a.Part) && clears(a.At, c.At) && (!known || !clears(before, c.At)) {
-			t.addNews(now, a)
-			return true
+		if clears(a.At, c.At) && slices.Contains(c.Parts, a.Part) {
+			t.remove(c, a.Part)
+			cleared = true
 		}
 	}
-	return false
+	if cleared {
+		t.addNews(now, a)
+	}
+	return cleared
 }
 
-// addNews queues an answer for other instances.
-func (t *Table) addNews(now time.Time, a Answer) {
-	t.news = slices.DeleteFunc(t.news, func(o learnedAnswer) bool {
-		return o.Part == a.Part || now.Sub(o.learned) >= newsTime
-	})
-	t.news = append(t.news, learnedAnswer{a, now})
+// remove removes a part from those that may have caused a crash.
+func (t *Table) remove(c *crash, p Part) {
+	// Others may hold the slice.
+	c.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(o Part) bool { return o == p })
+	t.suspects[p]--
 }
 
-// addCrash adds a crash unless it is known or all of its parts are cleared. The answers
-// that clear some of its parts are queued for the other instances.
+// addCrash adds a crash unless all of its parts are cleared, and reports whether anything is
+// new. The answers that clear some of its parts are queued for the other instances. Of a
+// known crash, the parts that are cleared at one of both instances are removed.
 func (t *Table) addCrash(now time.Time, c Crash) bool {
-	known := func(o *crash) bool { return o.Request == c.Request && o.Endpoint == c.Endpoint }
-	if now.Sub(c.At) >= memoryTime || slices.ContainsFunc(t.crashes, known) {
+	if now.Sub(c.At) >= memoryTime {
 		return false
 	}
+	for _, o := range t.crashes {
+		if o.Request != c.Request || o.Endpoint != c.Endpoint {
+			continue
+		}
+		changed := false
+		for _, p := range o.Parts {
+			if !slices.Contains(c.Parts, p) {
+				t.remove(o, p)
+				changed = true
+			}
+		}
+		return changed
+	}
 	added := &crash{Crash: c, learned: now}
-	suspect := false
+	added.Parts = nil
 	for _, p := range c.Parts {
 		if at, ok := t.answered.Get(p); ok && clears(at, c.At) {
 			t.addNews(now, Answer{p, at})
-		} else {
-			suspect = true
+		} else if !slices.Contains(added.Parts, p) {
+			added.Parts = append(added.Parts, p)
 		}
 	}
-	if !suspect {
+	if len(added.Parts) == 0 {
 		return false
 	}
 	t.crashes = append(t.crashes, added)
 	if t.suspects == nil {
 		t.suspects = make(map[Part]int)
 	}
-	for _, p := range c.Parts {
+	for _, p := range added.Parts {
 		t.suspects[p]++
 	}
 	return true
@@ -329,7 +277,7 @@
 		}
 		var list []*crash
 		for _, o := range t.crashes {
-			if slices.Contains(o.Parts, p) && t.isSuspect(p, o) {
+			if slices.Contains(o.Parts, p) {
 				list = append(list, o)
 			}
 		}
@@ -341,39 +289,44 @@
 // the crash at another.
 func clears(answer, crash time.Time) bool { return answer.After(crash.Add(-answerLead)) }
 
-// isSuspect reports whether a part may have caused a crash.
-func (t *Table) isSuspect(p Part, c *crash) bool {
-	at, ok := t.answered.Get(p)
-	return !ok || !clears(at, c.At)
-}
-
 // update drops old evidence and computes the quarantines. It explains as many crashes as
 // possible with each quarantine, and doesn't count a crash twice: prompts that were at an
-// endpoint together with a quarantined one are no suspects of its crash.
+// endpoint together with a quarantined one are no suspects of its crash. While no answer of
+// the service begins, nothing shows that a prompt is the cause.
 func (t *Table) update(now time.Time) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
-		return now.Sub(c.At) >= memoryTime || !slices.ContainsFunc(c.Parts, func(p Part) bool { return t.isSuspect(p, c) })
+		return now.Sub(c.At) >= memoryTime || len(c.Parts) == 0
 	})
-	t.quarantines = nil
+	t.quarantines, t.awaited = nil, make(map[Part]bool)
+	t.suspects = make(map[Part]int)
 	for _, c := range t.crashes {
 		c.supports = false
+		for _, p := range c.Parts {
+			t.suspects[p]++
+		}
 	}
-	explained := make(map[uint64]bool)
-	for {
+	explained := make(map[uint64][]time.Time)
+	for len(t.quarantines) < maxQuarantines {
 		involved := t.involved(explained)
 		best, bestCount := Part(0), 0
 		for p, list := range involved {
 			n := separateCrashes(list)
-			if n >= minCrashes && (n > bestCount || n == bestCount && p < best) {
-				best, bestCount = p, n
+			if n < minCrashes || n < bestCount || n == bestCount && p >= best {
+				continue
 			}
+			if service, answered := t.answeredSince(list); !answered {
+				t.awaited[service] = true
+				continue
+			}
+			best, bestCount = p, n
 		}
 		if bestCount == 0 {
 			break
 		}
-		q := Quarantine{Parts: t.common(involved[best]), Crashes: bestCount}
+		q := Quarantine{Parts: common(involved[best]), Crashes: bestCount}
 		for _, c := range involved[best] {
-			explained[c.Endpoint], c.supports = true, true
+			explained[c.Endpoint] = append(explained[c.Endpoint], c.At)
+			c.supports = true
 			if until := c.At.Add(blockTime); until.After(q.Until) {
 				q.Until = until
 			}
@@ -381,24 +334,26 @@
 		t.quarantines = append(t.quarantines, q)
 	}
 	t.evict()
-	t.suspects = make(map[Part]int)
-	for _, c := range t.crashes {
-		for _, p := range c.Parts {
-			t.suspects[p]++
-		}
-	}
+}
+
+// answeredSince returns the service of the last of the crashes, and whether an answer of the
+// service has begun that would clear its prompt.
+func (t *Table) answeredSince(list []*crash) (Part, bool) {
+	last := slices.MaxFunc(list, func(a, b *crash) int { return a.At.Compare(b.At) })
+	at, ok := t.answered.Get(last.Service)
+	return last.Service, ok && clears(at, last.At)
 }
 
 // involved returns the crashes that aren't explained for each part that may have caused
 // them and is in enough of them.
-func (t *Table) involved(explained map[uint64]bool) map[Part][]*crash {
+func (t *Table) involved(explained map[uint64][]time.Time) map[Part][]*crash {
 	m := make(map[Part][]*crash)
 	for _, c := range t.crashes {
-		if explained[c.Endpoint] {
+		if slices.ContainsFunc(explained[c.Endpoint], func(at time.Time) bool { return c.At.Sub(at).Abs() < restartTime }) {
 			continue
 		}
 		for _, p := range c.Parts {
-			if t.suspects[p] >= minCrashes && t.isSuspect(p, c) {
+			if t.suspects[p] >= minCrashes {
 				m[p] = append(m[p], c)
 			}
 		}
@@ -413,15 +368,15 @@
 func separateCrashes(list []*crash) int {
 	list = slices.Clone(list)
 	slices.SortStableFunc(list, func(a, b *crash) int { return a.At.Compare(b.At) })
-	requests, endpoints := make(map[uint64]bool), make(map[uint64]bool)
+	requests, endpoints := make(map[uint64]bool), make(map[uint64]*crash)
 	n := 0
 	var last *crash
 	for _, c := range list {
 		requests[c.Request] = true
-		if endpoints[c.Endpoint] {
+		if o := endpoints[c.Endpoint]; o != nil && (c.Request == o.Request || c.At.Sub(o.At) < restartTime) {
 			continue
 		}
-		endpoints[c.Endpoint] = true
+		endpoints[c.Endpoint] = c
 		if last == nil || c.Request == last.Request || c.At.Sub(last.At) >= minSpacing {
 			n, last = n+1, c
 		}
@@ -432,16 +387,14 @@
 	return n
 }
 
-// common returns the suspects that all of the given crashes have, in ascending order.
-func (t *Table) common(list []*crash) []Part {
-	var parts []Part
-	for _, p := range list[0].Parts {
-		if !slices.ContainsFunc(list, func(c *crash) bool { return !slices.Contains(c.Parts, p) || !t.isSuspect(p, c) }) {
-			parts = append(parts, p)
-		}
+// common returns the parts that all of the given crashes have, in ascending order.
+func common(list []*crash) []Part {
+	parts := slices.Clone(list[0].Parts)
+	for _, c := range list[1:] {
+		parts = slices.DeleteFunc(parts, func(p Part) bool { return !slices.Contains(c.Parts, p) })
 	}
 	slices.Sort(parts)
-	return slices.Compact(parts)
+	return parts
 }
 
 // evict drops the oldest crashes beyond maxCrashes, those that support a quarantine last.
--- a/io/crforward/crash.go
+++ b/io/crforward/crash.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"crocusrack/core/crbackoff"
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crhash"
@@ -20,8 +22,14 @@
 	// answerSettleTime is how long an answer must go on after its first event to show that
 	// its prompt doesn't crash the endpoint.
 	answerSettleTime = 250 * time.Millisecond
-	// crashProbeTimeout bounds the probe by which a crash is confirmed.
-	crashProbeTimeout = time.Second
+	// crashProbeTimeout bounds the probes by which a crash is confirmed. There are
+	// crashProbes of them, crashProbeInterval apart, as an endpoint may close its connections
+	// before it refuses new ones.
+	crashProbeTimeout  = time.Second
+	crashProbes        = 3
+	crashProbeInterval = 150 * time.Millisecond
+	// maxQuarantineParts bounds the parts of a prompt that are looked at.
+	maxQuarantineParts = 64
 )
 
 // quarantineParts returns the parts of a prompt that other prompts may have, too. The last
@@ -30,8 +38,9 @@
 	if len(parts) < 2 {
 		return nil
 	}
-	list := make([]crquarantine.Part, 0, len(parts)-1)
-	for _, p := range parts[:len(parts)-1] {
+	parts = parts[:min(len(parts)-1, maxQuarantineParts)]
+	list := make([]crquarantine.Part, 0, len(parts))
+	for _, p := range parts {
 		list = append(list, crquarantine.PartOf(service, p.ID))
 	}
 	return list
@@ -50,21 +59,37 @@
 	if len(x.parts) == 0 || x.answered.Load() || !closedByEndpoint(cause) {
 		return
 	}
-	client, log, request, parts := x.Client, x.Log, x.request, x.parts
+	f, request, parts := x.Forwarder, x.request, x.parts
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
-		defer cancel()
-		err := client.Probe(ctx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address})
-		if !errors.Is(err, syscall.ECONNREFUSED) {
+		if !f.refusesConnections(crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}) {
 			return
 		}
 		g.RecordCrash(time.Now(), crhash.Of(request.ID))
-		log.Warn("entry: an endpoint crashed before it answered a prompt",
+		f.Log.Warn("entry: an endpoint crashed before it answered a prompt",
 			zap.String("request", request.ID), zap.String("endpoint", g.Endpoint.ID),
 			zap.Any("prompt", request.Parts), zap.Stringers("parts", parts))
 	}()
 }
 
+// refusesConnections probes an endpoint and reports whether it refuses connections. The
+// requests that wait at one endpoint share the probes.
+func (f *Forwarder) refusesConnections(e crhop.Endpoint) bool {
+	refused, _, _ := f.crashProbes.Do(strconv.FormatUint(uint64(e.Key), 16), func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
+		defer cancel()
+		for i := range crashProbes {
+			if i > 0 && crbackoff.Sleep(ctx, crashProbeInterval) != nil {
+				break
+			}
+			if errors.Is(f.Client.Probe(ctx, e), syscall.ECONNREFUSED) {
+				return true, nil
+			}
+		}
+		return false, nil
+	})
+	return refused.(bool)
+}
+
 // closedByEndpoint reports whether an attempt failed because the endpoint closed the
 // connection.
 func closedByEndpoint(err error) bool {
--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -77,6 +77,9 @@
 				return
 			case strings.HasPrefix(id, "empty"):
 				return
+			case strings.HasPrefix(id, "sound"):
+				_, _ = io.WriteString(w, eventText(1, 2))
+				return
 			}
 			crashes++
 			rigged.servers[i].Close()
@@ -93,6 +96,7 @@
 		routing.Version, routing.Services[0].Engine = 2, true
 		r.state.SetRouting(routing)
 		for i := range 6 {
+			r.send(r.t.Context(), "/reply/", "", "Id", fmt.Sprint("sound-", i), "Parts", fmt.Sprintf("other sound-%d", i))
 			r.send(r.t.Context(), "/draft/", "", "Id", fmt.Sprint("wrong-", i), "Parts", fmt.Sprintf("system deadly wrong-%d", i))
 			r.send(r.t.Context(), "/reply/", "", "Id", fmt.Sprint("empty-", i), "Parts", fmt.Sprintf("system deadly empty-%d", i))
 			r.send(r.t.Context(), "/draft/", "", "Id", fmt.Sprint("deadly-", i), "Parts", fmt.Sprintf("system deadly own-%d", i))
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
@@ -142,6 +143,9 @@
 	MaxEventDelay time.Duration
 	// Disabled holds the mechanisms that are switched off.
 	Disabled crswitch.Set
+
+	// crashProbes joins the probes of an endpoint that may have crashed.
+	crashProbes singleflight.Group
 }
 
 // exchange is the state of one caller's request while it is served.
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -344,7 +344,7 @@
 		x.endGrant(g, crhealth.Failed)
 		return result{verdict: failed, answer: buffered}
 	}
-	if answer.Status < http.StatusMultipleChoices {
+	if answer.Status < http.StatusMultipleChoices && answer.Framed() {
 		// The engine need not have read the prompt for another answer.
 		x.markAnswered(g)
 	}
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -186,7 +186,7 @@
 				err := errors.Join(io.ErrUnexpectedEOF, s.flush(answer))
 				return monitor.await(), err
 			case c.err == io.EOF:
-				if !firstEvent.IsZero() {
+				if !firstEvent.IsZero() && answer.Framed() {
 					s.markAnswered(g)
 				}
 				// This also writes the header of an answer without events.
