Let a drain wait for the calls of other instances

What callers saw: a call that an instance ran at an endpoint of its shard for another instance was cut when it drained. The caller got "unknown" for a call that ran to its end.

Cause: Owner.InFlight counted chats only, and the drain ends once it and Entry.InFlight are zero. Found by review.

Change: Owner counts its calls. InFlight, the drain and owner-in-flight in the dump include them.

Evidence: TestDrainWaitsForCallsOfPeers failed before (Unavailable: error reading from server: EOF, at a drain that began while a call of 4 s ran), and passes now. The tests of io/crdaemon and io/crentry pass with -race.

--- a/io/crowner/call.go
+++ b/io/crowner/call.go
@@ -29,6 +29,8 @@
 // fails, Call tries another endpoint, unless the call may have run and isn't
 // repeatable.
 func (o *Owner) Call(ctx context.Context, r *crpeer.ServeCallRequest, s *crcatalogue.Service) *crcaller.CallResponse {
+	o.countCall(1)
+	defer o.countCall(-1)
 	deadline := crrequest.Deadline(time.Now(), r.Request.Deadline, s)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/io/crowner/owner.go
+++ b/io/crowner/owner.go
@@ -66,6 +66,8 @@
 	waiters map[uint64]chan cradmit.Decision
 	// activeChats maps request ids to the chats in progress.
 	activeChats map[string]*activeChat
+	// activeCalls is the number of calls in progress.
+	activeCalls int
 	// contexts holds the contexts of recently answered chats.
 	contexts crrecent.Map[contextKey, Context]
 }
@@ -259,11 +261,18 @@
 	return o.Admitter.Holder(service, chat)
 }
 
-// InFlight returns the number of chats in progress at this instance.
+// countCall adds n to the number of calls in progress.
+func (o *Owner) countCall(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.activeCalls += n
+}
+
+// InFlight returns the number of chats and calls in progress at this instance.
 func (o *Owner) InFlight() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.activeChats)
+	return len(o.activeChats) + o.activeCalls
 }
 
 // shardKey returns the key of the shard that a peer's request names.
