Answer the requests of peers that are read while a daemon stops

What callers saw: a request that another instance sent here after the drain had ended, for example a call with an execution token of this instance, was taken and cut up to 5 s later. It ended "unknown" after an endpoint had run it.

Cause: the peer listener went on taking requests while the callers' connections were shut down, and was then stopped without regard to the requests in progress. Found by review.

Change: the peer listener stops gracefully beside the others, within the same 5 s.

Evidence: TestCallsOfPeersReadDuringAStopAreAnswered failed before ("at the end ran and ended <nil>", error reading from server: EOF) and passes now. TestStopEndsWithPeersThatCannotBeReached passes before and now and fails with GracefulStop alone. The tests of io/crdaemon pass with -race; those of stand/crdeployment and io/crplacement pass without.

Left: a request that takes longer than the 5 s is still cut, here and on the callers' listener.

--- a/io/crdaemon/daemon.go
+++ b/io/crdaemon/daemon.go
@@ -131,7 +131,7 @@
 	case <-ctx.Done():
 	case <-d.drain:
 		d.leave(ctx)
-		servers.shutdown(ctx)
+		d.shutdown(ctx, servers)
 	}
 	cancel()
 	servers.close()
--- a/io/crdaemon/drain_test.go
+++ b/io/crdaemon/drain_test.go
@@ -61,3 +61,65 @@
 		<-done
 	})
 }
+
+// executions returns how often endpoints ran a call.
+func (f *fleet) executions(id string) uint32 {
+	var n uint32
+	for _, s := range f.Services {
+		n += s.Counters().Executions[id]
+	}
+	return n
+}
+
+// TestCallsOfPeersReadDuringAStopAreAnswered holds up a stop by a connection without a request.
+func TestCallsOfPeersReadDuringAStopAreAnswered(t *testing.T) {
+	inDrainTest(t, 500*time.Millisecond, func(t *testing.T, f *fleet, peer peerpb.PeerServiceClient) {
+		call := func(id string) {
+			answer, err := peer.ServeCall(t.Context(), &peerpb.ServeCallRequest{Request: &crcaller.CallRequest{
+				RequestId: id, Attempt: 1, Service: "persbalie", ClientAccount: "order-desk", Method: "release",
+			}})
+			if ran := f.executions(id); ran > 0 && (err != nil || answer.Outcome.Kind != crcaller.OutcomeKind_OUTCOME_KIND_ANSWERED) {
+				t.Errorf("%s ran and ended %v, error %v", id, answer.GetOutcome(), err)
+			}
+		}
+		call("before")
+		if f.executions("before") != 1 {
+			t.Fatal("calls of peers don't run")
+		}
+		callers := f.CallerAddresses()[0].String()
+		idle, err := f.network.Dial("peer")(t.Context(), "tcp", callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer idle.Close()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Node("noord-a-1").Drain()
+		}()
+		for {
+			probe, err := f.network.Dial("peer")(t.Context(), "tcp", callers)
+			if err != nil {
+				break
+			}
+			probe.Close()
+			time.Sleep(10 * time.Millisecond)
+		}
+		go call("at the begin")
+		time.Sleep(4900 * time.Millisecond)
+		call("at the end")
+		<-done
+	})
+}
+
+// TestStopEndsWithPeersThatCannotBeReached checks that their connections don't hold up a stop.
+func TestStopEndsWithPeersThatCannotBeReached(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.network.Part("noord-a-1", "noord-b-1")
+		begin := time.Now()
+		f.Node("noord-a-1").Drain()
+		if took := time.Since(begin); took > 4*time.Second {
+			t.Errorf("the drain took %s", took)
+		}
+	})
+}
--- a/io/crdaemon/leave.go
+++ b/io/crdaemon/leave.go
@@ -40,7 +40,7 @@
 
 // cut logs what a drain ends that wasn't complete.
 func (d *Daemon) cut(ctx context.Context) {
-	requests := zap.Int("requests", d.entry.InFlight()+d.owner.InFlight())
+	requests := zap.Int("requests", d.inFlight())
 	switch {
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		d.Log.Warn("daemon: stopped before the drain was complete", requests)
@@ -56,7 +56,7 @@
 func (d *Daemon) endRequests() {
 	d.entry.CancelAll()
 	for end := time.Now().Add(shutdownTimeout); time.Now().Before(end); time.Sleep(leaveInterval) {
-		if d.entry.InFlight() == 0 && d.owner.InFlight() == 0 {
+		if d.inFlight() == 0 {
 			return
 		}
 	}
@@ -66,6 +66,9 @@
 // are released or have lapsed.
 func (d *Daemon) idle() bool {
 	now := time.Now()
-	return now.UnixNano() > d.addressed.Load() && d.entry.InFlight() == 0 && d.owner.InFlight() == 0 &&
-		len(d.placements.Leases(now)) == 0
+	return now.UnixNano() > d.addressed.Load() && d.inFlight() == 0 && len(d.placements.Leases(now)) == 0
 }
+
+// inFlight returns the number of requests in progress. A request that is both taken from a
+// caller and run here counts twice.
+func (d *Daemon) inFlight() int { return d.entry.InFlight() + d.owner.InFlight() }
--- a/io/crdaemon/loop.go
+++ b/io/crdaemon/loop.go
@@ -35,6 +35,7 @@
 	largestOutcomeBody = 256 << 10
 	leaveInterval      = 50 * time.Millisecond
 	shutdownTimeout    = 5 * time.Second
+	shutdownIdleTime   = 100 * time.Millisecond
 
 	// Every reportTicks-th look at cold endpoints is one at all.
 	coldReportInterval = 400 * time.Millisecond
--- a/io/crdaemon/serve.go
+++ b/io/crdaemon/serve.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
@@ -24,13 +25,41 @@
 	peer *grpc.Server
 }
 
-func (s *servers) shutdown(ctx context.Context) {
+// shutdown ends the servers. What they have read by then is answered for at most
+// shutdownTimeout.
+func (d *Daemon) shutdown(ctx context.Context, s *servers) {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
+	peersEnded := make(chan struct{})
+	d.tasks.Go(func() {
+		defer close(peersEnded)
+		s.peer.GracefulStop()
+	})
 	for _, h := range s.http {
 		// A connection that stays open after the timeout is closed next.
 		_ = h.Shutdown(ctx)
 	}
+	d.awaitPeers(ctx, peersEnded)
+}
+
+// awaitPeers waits until the connections of all peers have ended. The connection of a peer
+// that can't be reached stays open, so awaitPeers also returns once no request has been in
+// progress for shutdownIdleTime.
+func (d *Daemon) awaitPeers(ctx context.Context, ended <-chan struct{}) {
+	t := time.NewTicker(leaveInterval)
+	defer t.Stop()
+	for idleSince := time.Now(); time.Since(idleSince) < shutdownIdleTime; {
+		select {
+		case <-ended:
+			return
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if d.inFlight() > 0 {
+			idleSince = time.Now()
+		}
+	}
 }
 
 func (s *servers) close() {
