Track each of several requests with one id

Cause: the cancel functions were kept by request id, one for each. The later sending replaced the earlier one's, and whichever ended first removed the entry, so InFlight and CancelAll missed the other. Found by review.

Change: each request in progress is kept. Cancel cancels all with the id.

Evidence: TestRequestsWithOneIDAreAllTracked (in flight: 1 and 0, want 2 and 1; the other not cancelled) and TestCancelReachesAllRequestsWithOneID (the first not cancelled) failed before and pass now. The tests of io/crentry and io/crdaemon pass with -race.

--- a/io/crentry/call_test.go
+++ b/io/crentry/call_test.go
@@ -199,3 +199,41 @@
 		t.Errorf("a retry got %v, want answered with the body not kept", again)
 	}
 }
+
+// TestRequestsWithOneIDAreAllTracked ends the first or the second of two such requests.
+func TestRequestsWithOneIDAreAllTracked(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		end  int
+	}{{"first ends", 0}, {"second ends", 1}} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFakeEntry()
+			var contexts [2]context.Context
+			var untrack [2]func()
+			for i := range contexts {
+				contexts[i], untrack[i] = f.track(t.Context(), "r-1")
+			}
+			both := f.InFlight()
+			untrack[tt.end]()
+			one := f.InFlight()
+			f.CancelAll()
+			cause := context.Cause(contexts[1-tt.end])
+			untrack[1-tt.end]()
+			if both != 2 || one != 1 || cause != errStopped || f.InFlight() != 0 {
+				t.Errorf("in flight: %d, %d, then %d, want 2, 1 and 0; the other was cancelled for %v", both, one, f.InFlight(), cause)
+			}
+		})
+	}
+}
+
+// TestCancelReachesAllRequestsWithOneID cancels a request that is sent again meanwhile.
+func TestCancelReachesAllRequestsWithOneID(t *testing.T) {
+	f := newFakeEntry()
+	first, endFirst := f.track(t.Context(), "r-1")
+	defer endFirst()
+	second, endSecond := f.track(t.Context(), "r-1")
+	defer endSecond()
+	if !f.cancelHere("r-1") || context.Cause(first) != errCancelled || context.Cause(second) != errCancelled {
+		t.Errorf("the requests were cancelled for %v and %v, want both for %v", context.Cause(first), context.Cause(second), errCancelled)
+	}
+}
--- a/io/crentry/entry.go
+++ b/io/crentry/entry.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,10 +84,14 @@
 	chatShards chatShards
 
 	mu sync.Mutex
-	// cancels holds the cancel function of each request in progress, by request ID.
-	cancels map[string]context.CancelCauseFunc
+	// tracked holds the requests in progress by request ID. A request that is sent again
+	// may overlap with its earlier sending.
+	tracked map[string][]*trackedRequest
 }
 
+// trackedRequest is a request in progress.
+type trackedRequest struct{ cancel context.CancelCauseFunc }
+
 // Quota holds the functions that enforce the limits of the client accounts.
 type Quota struct {
 	// Admit reports whether a request of the account may run now, and if not, after
@@ -241,21 +246,22 @@
 func (e *Entry) CancelAll() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, cancel := range e.cancels {
-		cancel(errStopped)
+	for _, requests := range e.tracked {
+		for _, r := range requests {
+			r.cancel(errStopped)
+		}
 	}
 }
 
 // cancelHere cancels a request at this instance and reports whether it was found.
 func (e *Entry) cancelHere(id string) bool {
 	e.mu.Lock()
-	cancel, ok := e.cancels[id]
+	requests := slices.Clone(e.tracked[id])
 	e.mu.Unlock()
-	if ok {
-		cancel(errCancelled)
-		return true
+	for _, r := range requests {
+		r.cancel(errCancelled)
 	}
-	return e.Owner.Cancel(id)
+	return len(requests) > 0 || e.Owner.Cancel(id)
 }
 
 // cancelAtOwners asks the owners of the chat's shards to cancel a request and reports
@@ -345,14 +351,18 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cancels == nil {
-		e.cancels = make(map[string]context.CancelCauseFunc)
+	if e.tracked == nil {
+		e.tracked = make(map[string][]*trackedRequest)
 	}
-	e.cancels[id] = cancel
+	r := &trackedRequest{cancel}
+	e.tracked[id] = append(e.tracked[id], r)
 	return ctx, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		delete(e.cancels, id)
+		e.tracked[id] = slices.DeleteFunc(e.tracked[id], func(t *trackedRequest) bool { return t == r })
+		if len(e.tracked[id]) == 0 {
+			delete(e.tracked, id)
+		}
 		cancel(nil)
 	}
 }
@@ -361,5 +371,9 @@
 func (e *Entry) InFlight() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.cancels)
+	n := 0
+	for _, requests := range e.tracked {
+		n += len(requests)
+	}
+	return n
 }
