Close an answer without a race against its reader

What callers saw: nothing that is known. Close read bodyEnded and the connection's buffer without synchronization with a Read in another goroutine, and decides by them whether the connection is used for another request.

Cause: a stream's chunks are read by a goroutine of its own, which Close doesn't wait for. It may have read the end of the body when the context ends or a successor has answered.

Change: bodyEnded is atomic. If Close sees it set, the reader has finished.

--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"crocusrack/core/crledger"
@@ -38,8 +39,9 @@
 	// stopAbort prevents the abort that is otherwise made when the request's context
 	// ends. It returns false if that abort has begun already.
 	stopAbort func() bool
-	// bodyEnded is true once the body was read to its end.
-	bodyEnded bool
+	// bodyEnded is true once the body was read to its end. It is atomic because Close may
+	// run while Read does; if it is true, nothing reads from the connection any more.
+	bodyEnded atomic.Bool
 	closeOnce sync.Once
 }
 
@@ -164,7 +166,7 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
 	if err == io.EOF {
-		a.bodyEnded = true
+		a.bodyEnded.Store(true)
 	}
 	return n, err
 }
@@ -192,7 +194,7 @@
 
 // reusable reports whether the connection may carry another request.
 func (a *Answer) reusable() bool {
-	if !a.bodyEnded || !a.Framed() || a.response.Close || a.conn.reader.Buffered() > 0 {
+	if !a.bodyEnded.Load() || !a.Framed() || a.response.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
