Keep a chat's later attempt when an earlier one arrives late

What callers saw: a caller that gave up an attempt and sent the next one could be told that the chat was cancelled, which it hadn't asked for, after part of the answer. That happens if the earlier attempt is sent to the owner after the later one, for example by an entry whose link to the caller stalls and which doesn't know that the caller has gone.

Cause: register cancelled the chat in progress for any other request with its id. Found while looking at whether it should wait for the admission of the new one. It shouldn't: by docs/CALLING.md a caller sends an id again only after the stream has broken, so nobody reads the older attempt, and its place at the endpoint is freed for the newer one.

Change: a request with a lower attempt than the chat in progress ends as cancelled, and the chat goes on. An equal attempt replaces it, as before.

--- a/io/crowner/chat.go
+++ b/io/crowner/chat.go
@@ -29,7 +29,14 @@
 // the generated tokens to send. After a broken stream, it resumes the chat at
 // another endpoint of the shard. Chat returns the end message and doesn't send it.
 func (o *Owner) Chat(ctx context.Context, r *crpeer.ServeChatRequest, s *crcatalogue.Service, send func(*crcaller.ChatResponse) error) *crcaller.ChatEnd {
-	ctx, end := o.register(ctx, r.Request.RequestId)
+	ctx, end, ok := o.register(ctx, r.Request.RequestId, r.Request.Attempt)
+	if !ok {
+		return &crcaller.ChatEnd{
+			Outcome:    crrequest.Cancelled(),
+			TokenCount: uint32(len(r.Request.Received)),
+			Instance:   o.Instance,
+		}
+	}
 	defer end()
 	deadline := crrequest.Deadline(time.Now(), r.Request.Deadline, s)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
--- a/io/crowner/owner.go
+++ b/io/crowner/owner.go
@@ -74,7 +74,8 @@
 
 // activeChat is a chat request in progress at this instance.
 type activeChat struct {
-	cancel context.CancelCauseFunc
+	attempt uint32
+	cancel  context.CancelCauseFunc
 	// done is closed when the request has ended.
 	done chan struct{}
 }
@@ -210,7 +211,9 @@
 // function that ends the registration. If a request with the same id is already in
 // progress, its caller has given up on it and sent it again. register cancels it
 // first and waits for its end. The new request resumes the answer where it stands.
-func (o *Owner) register(ctx context.Context, id string) (context.Context, func()) {
+// If the request in progress has a higher attempt, the new one has arrived late, and
+// register returns false.
+func (o *Owner) register(ctx context.Context, id string, attempt uint32) (context.Context, func(), bool) {
 	for {
 		o.mu.Lock()
 		old, ok := o.activeChats[id]
@@ -218,16 +221,19 @@
 			break
 		}
 		o.mu.Unlock()
+		if attempt < old.attempt {
+			return nil, nil, false
+		}
 		old.cancel(errSuperseded)
 		select {
 		case <-old.done:
 		case <-ctx.Done():
-			return ctx, func() {}
+			return ctx, func() {}, true
 		}
 	}
 	defer o.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(ctx)
-	r := &activeChat{cancel: cancel, done: make(chan struct{})}
+	r := &activeChat{attempt: attempt, cancel: cancel, done: make(chan struct{})}
 	if o.activeChats == nil {
 		o.activeChats = make(map[string]*activeChat)
 	}
@@ -238,7 +244,7 @@
 		o.mu.Unlock()
 		cancel(nil)
 		close(r.done)
-	}
+	}, true
 }
 
 // Cancel cancels the chat with the request id and reports whether it was in
