--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -36,6 +36,13 @@
 	saves int
 }
 
+// callCount returns the number of calls so far.
+func (s *store) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 func (s *store) do(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -326,8 +333,8 @@
 		time.Sleep(2 * time.Second)
 		s.do(func() { s.down = true; s.calls = 0 })
 		time.Sleep(10 * time.Second)
-		if s.calls > 16 {
-			t.Errorf("%d calls in an outage of ten seconds", s.calls)
+		if n := s.callCount(); n > 16 {
+			t.Errorf("%d calls in an outage of ten seconds", n)
 		}
 	})
 }
@@ -346,8 +353,8 @@
 			w.Run(ctx)
 		}()
 		time.Sleep(1900 * time.Millisecond)
-		if s.calls != 0 {
-			t.Errorf("%d calls while others may answer", s.calls)
+		if n := s.callCount(); n != 0 {
+			t.Errorf("%d calls while others may answer", n)
 		}
 		time.Sleep(400 * time.Millisecond)
 		if diff := cmp.Diff([]string{"llm-1"}, endpoints(state)); diff != "" {
