Don't quarantine the parts of bystanders with equal or more crashes

Cause: a sound request that waits at a crashed endpoint puts the parts that it shares with the deadly one in at least as many crashes. Ties went to the part with the smaller hash, so those parts were quarantined without the deadly one. The time between crashes was taken from each part's own records, so that a bystander's part could even seem to be in more of them. And a repeat counted as a separate crash only if it was next to the first attempt in the list, so that a burst of crashes counted as two.

Change: the ends of endpoints that a part explains are counted first, then the part that fewer prompts have wins. Whether endpoints crashed one after the other depends on their ends alone: their earliest record, and any request that waited at both. Crashes of one request explain their ends, but quarantine nothing. Crashes of one endpoint belong to different ends if a second lies between them.

--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -98,7 +98,7 @@
 // has more than one part as long as nothing shows which of them crashes endpoints.
 type Quarantine struct {
 	Parts []Part `json:"parts"`
-	// Crashes is the number of crashes that it explains.
+	// Crashes is the number of endpoints whose crash it explains.
 	Crashes int `json:"crashes"`
 	// Until is when it ends unless there is another crash.
 	Until time.Time `json:"until"`
@@ -108,6 +108,8 @@
 // empty and ready to use. A Table is not safe for concurrent use.
 type Table struct {
 	crashes []*crash
+	// ends holds the ends of each endpoint.
+	ends map[uint64][]*end
 	// suspects counts for each part the crashes that it is involved in.
 	suspects map[Part]int
 	answered crrecent.Map[Part, time.Time]
@@ -125,6 +127,8 @@
 	learned time.Time
 	// supports is true if a quarantine follows from the crash.
 	supports bool
+	// end is the end of the endpoint that the crash belongs to.
+	end *end
 }
 
 type learnedAnswer struct {
@@ -255,6 +259,7 @@
 	if len(added.Parts) == 0 {
 		return false
 	}
+	t.setEnd(added)
 	t.crashes = append(t.crashes, added)
 	if t.suspects == nil {
 		t.suspects = make(map[Part]int)
@@ -271,17 +276,17 @@
 	if len(t.quarantines) > 0 || len(t.crashes) > maxCrashes {
 		return true
 	}
+	if !slices.ContainsFunc(c.Parts, func(p Part) bool { return t.suspects[p] >= minCrashes }) {
+		return false
+	}
 	return slices.ContainsFunc(c.Parts, func(p Part) bool {
-		if t.suspects[p] < minCrashes {
-			return false
-		}
-		var list []*crash
+		var ends []*end
 		for _, o := range t.crashes {
-			if slices.Contains(o.Parts, p) {
-				list = append(list, o)
+			if slices.Contains(o.Parts, p) && !slices.Contains(ends, o.end) {
+				ends = append(ends, o.end)
 			}
 		}
-		return separateCrashes(list) >= minCrashes
+		return separate(ends)
 	})
 }
 
@@ -305,32 +310,32 @@
 			t.suspects[p]++
 		}
 	}
-	explained := make(map[uint64][]time.Time)
+	t.ends = nil
+	for _, c := range t.crashes {
+		t.setEnd(c)
+	}
+	explained := make(map[*end]bool)
 	for len(t.quarantines) < maxQuarantines {
-		involved := t.involved(explained)
-		best, bestCount := Part(0), 0
-		for p, list := range involved {
-			n := separateCrashes(list)
-			if n < minCrashes || n < bestCount || n == bestCount && p >= best {
-				continue
-			}
-			if service, answered := t.answeredSince(list); !answered {
-				t.awaited[service] = true
-				continue
-			}
-			best, bestCount = p, n
-		}
-		if bestCount == 0 {
+		best, ok := t.bestCause(explained)
+		if !ok {
 			break
 		}
-		q := Quarantine{Parts: common(involved[best]), Crashes: bestCount}
-		for _, c := range involved[best] {
-			explained[c.Endpoint] = append(explained[c.Endpoint], c.At)
-			c.supports = true
+		q := Quarantine{Parts: common(best.crashes), Crashes: len(best.ends)}
+		requests := make(map[uint64]bool)
+		for _, c := range best.crashes {
+			explained[c.end], requests[c.Request] = true, true
 			if until := c.At.Add(blockTime); until.After(q.Until) {
 				q.Until = until
 			}
 		}
+		// The crashes of one request may be due to what no other prompt has. They are no
+		// evidence against a part that others have until one of those crashes an endpoint.
+		if len(requests) < minRequests {
+			continue
+		}
+		for _, c := range best.crashes {
+			c.supports = true
+		}
 		t.quarantines = append(t.quarantines, q)
 	}
 	t.evict()
@@ -346,10 +351,10 @@
 
 // involved returns the crashes that aren't explained for each part that may have caused
 // them and is in enough of them.
-func (t *Table) involved(explained map[uint64][]time.Time) map[Part][]*crash {
+func (t *Table) involved(explained map[*end]bool) map[Part][]*crash {
 	m := make(map[Part][]*crash)
 	for _, c := range t.crashes {
-		if slices.ContainsFunc(explained[c.Endpoint], func(at time.Time) bool { return c.At.Sub(at).Abs() < restartTime }) {
+		if explained[c.end] {
 			continue
 		}
 		for _, p := range c.Parts {
@@ -361,32 +366,6 @@
 	return m
 }
 
-// separateCrashes returns the number of crashes that have no common cause other than a
-// prompt, or zero if they concern fewer than minRequests requests. Those are crashes with
-// minSpacing between them, and those of one request, which was sent to the second endpoint
-// after the first had crashed.
-func separateCrashes(list []*crash) int {
-	list = slices.Clone(list)
-	slices.SortStableFunc(list, func(a, b *crash) int { return a.At.Compare(b.At) })
-	requests, endpoints := make(map[uint64]bool), make(map[uint64]*crash)
-	n := 0
-	var last *crash
-	for _, c := range list {
-		requests[c.Request] = true
-		if o := endpoints[c.Endpoint]; o != nil && (c.Request == o.Request || c.At.Sub(o.At) < restartTime) {
-			continue
-		}
-		endpoints[c.Endpoint] = c
-		if last == nil || c.Request == last.Request || c.At.Sub(last.At) >= minSpacing {
-			n, last = n+1, c
-		}
-	}
-	if len(requests) < minRequests {
-		return 0
-	}
-	return n
-}
-
 // common returns the parts that all of the given crashes have, in ascending order.
 func common(list []*crash) []Part {
 	parts := slices.Clone(list[0].Parts)
--- a/core/crquarantine/quarantine_test.go
+++ b/core/crquarantine/quarantine_test.go
@@ -109,6 +109,37 @@
 			}, nil,
 			[]string{"p", "q"}, nil, false,
 		},
+		{
+			"a bystander with a part of all deadly prompts",
+			[]crquarantine.Crash{crash(0, 1, 1, "s", "p"), crash(300, 2, 2, "s", "p"), crash(900, 3, 3, "s", "p"), crash(901, 9, 3, "s")}, nil,
+			[]string{"s p"}, []string{"s", "p"}, false,
+		},
+		{
+			"the same with the parts exchanged",
+			[]crquarantine.Crash{crash(0, 1, 1, "s", "p"), crash(300, 2, 2, "s", "p"), crash(900, 3, 3, "s", "p"), crash(901, 9, 3, "p")}, nil,
+			[]string{"s p"}, []string{"s", "p"}, false,
+		},
+		{
+			"the crashes of bystanders are noticed earlier or later",
+			[]crquarantine.Crash{
+				crash(0, 11, 1, "s"), crash(20, 1, 1, "s", "p"), crash(160, 2, 2, "s", "p"), crash(165, 12, 2, "s"),
+				crash(900, 3, 3, "s", "p"), crash(900, 13, 3, "s"),
+			}, nil,
+			[]string{"s p"}, []string{"s", "p"}, false,
+		},
+		{
+			"one request crashes three endpoints with bystanders",
+			[]crquarantine.Crash{
+				crash(0, 1, 1, "s", "p"), crash(0, 11, 1, "s"), crash(300, 1, 2, "s", "p"), crash(300, 12, 2, "s"),
+				crash(900, 1, 3, "s", "p"), crash(900, 13, 3, "s"),
+			}, nil,
+			nil, []string{"s", "p", "s p"}, false,
+		},
+		{
+			"endpoints with several requests that are repeated",
+			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(160, 5, 2, "p"), crash(161, 3, 2, "p"), crash(230, 3, 3, "p")}, nil,
+			[]string{"p"}, nil, false,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var table, other crquarantine.Table
