Quarantine a part that was never answered also while its service answers nobody

Change: the rule holds only if each part of the quarantine was answered before. Instances tell each other the answers to the parts of crashes, also those that clear nothing, so that they agree.

A new row of TestQuarantine is an outage with such a part.

--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -33,6 +33,9 @@
 	sent, messages map[string]int
 	// cut holds pairs of instances between which no messages arrive.
 	cut map[[2]string]bool
+	// pass returns a message as it arrives, or nil if it is lost. It may be nil, and may
+	// change the message.
+	pass func(from, to string, m *pb.Report) *pb.Report
 }
 
 func newFleet(t testing.TB, size int) *fleet {
@@ -70,7 +73,13 @@
 		f.inside += proto.Size(m)
 	}
 	f.sent[from] += proto.Size(m)
-	h, err := receiver.Receive(f.now, proto.CloneOf(m))
+	arrived := proto.CloneOf(m)
+	if f.pass != nil {
+		if arrived = f.pass(from, to, arrived); arrived == nil {
+			return
+		}
+	}
+	h, err := receiver.Receive(f.now, arrived)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/core/crquarantine/evidence.go
+++ b/core/crquarantine/evidence.go
@@ -32,19 +32,19 @@
 func (t *Table) News(now time.Time) Evidence {
 	all := now.Before(t.repeatUntil)
 	e := Evidence{Crashes: t.tell(func(c *crash) bool { return all || now.Sub(c.learned) < newsTime })}
-	e.Answers = t.serviceAnswers(e.Crashes)
 	for _, a := range slices.Backward(t.news) {
 		if len(e.Answers) < maxNewsAnswers && now.Sub(a.learned) < newsTime {
 			e.Answers = append(e.Answers, a.Answer)
 		}
 	}
+	e.Answers = append(e.Answers, t.answersFor(e.Crashes)...)
 	return e
 }
 
 // All returns the evidence for an instance that has none, in the order of News.
 func (t *Table) All() Evidence {
 	crashes := t.tell(func(*crash) bool { return true })
-	return Evidence{Crashes: crashes, Answers: t.serviceAnswers(crashes)}
+	return Evidence{Crashes: crashes, Answers: t.answersFor(crashes)}
 }
 
 // tell returns as many of the wanted crashes as may be told at a time. Those from which a
@@ -67,14 +67,23 @@
 	return list
 }
 
-// serviceAnswers returns the last answers of the services of the given crashes.
-func (t *Table) serviceAnswers(crashes []Crash) []Answer {
+// answersFor returns the last answers of the services and parts of the given crashes, up to
+// maxNewsAnswers.
+func (t *Table) answersFor(crashes []Crash) []Answer {
 	var list []Answer
 	told := make(map[Part]bool)
+	add := func(p Part) {
+		if at, ok := t.answered.Get(p); ok && !told[p] && len(list) < maxNewsAnswers {
+			told[p] = true
+			list = append(list, Answer{p, at})
+		}
+	}
+	for _, c := range crashes {
+		add(c.Service)
+	}
 	for _, c := range crashes {
-		if at, ok := t.answered.Get(c.Service); ok && !told[c.Service] {
-			told[c.Service] = true
-			list = append(list, Answer{c.Service, at})
+		for _, p := range c.Parts {
+			add(p)
 		}
 	}
 	return list
--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -113,7 +113,8 @@
 	// suspects counts for each part the crashes that it is involved in.
 	suspects map[Part]int
 	answered crrecent.Map[Part, time.Time]
-	// awaited holds the services on which an answer must begin before a part is quarantined.
+	// awaited holds the services on which an answer must begin before a part that was answered
+	// before is quarantined.
 	awaited map[Part]bool
 	// news holds the answers that cleared a suspect, with the time when they were learned.
 	news        []learnedAnswer
@@ -228,7 +229,7 @@
 }
 
 // addCrash adds a crash unless all of its parts are cleared, and reports whether anything is
-// new. The answers that clear some of its parts are queued for the other instances. Of a
+// new. The answers to its parts are queued for the other instances. Of a
 // known crash, the parts that are cleared at one of both instances are removed.
 func (t *Table) addCrash(now time.Time, c Crash) bool {
 	if now.Sub(c.At) >= memoryTime {
@@ -250,9 +251,11 @@
 	added := &crash{Crash: c, learned: now}
 	added.Parts = nil
 	for _, p := range c.Parts {
-		if at, ok := t.answered.Get(p); ok && clears(at, c.At) {
+		at, ok := t.answered.Get(p)
+		if ok {
 			t.addNews(now, Answer{p, at})
-		} else if !slices.Contains(added.Parts, p) {
+		}
+		if (!ok || !clears(at, c.At)) && !slices.Contains(added.Parts, p) {
 			added.Parts = append(added.Parts, p)
 		}
 	}
@@ -297,7 +300,8 @@
 // update drops old evidence and computes the quarantines. It explains as many crashes as
 // possible with each quarantine, and doesn't count a crash twice: prompts that were at an
 // endpoint together with a quarantined one are no suspects of its crash. While no answer of
-// the service begins, nothing shows that a prompt is the cause.
+// the service begins, parts that were answered before are no suspects either: in an outage
+// those that all prompts have would be.
 func (t *Table) update(now time.Time) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
 		return now.Sub(c.At) >= memoryTime || len(c.Parts) == 0
@@ -349,6 +353,14 @@
 	return last.Service, ok && clears(at, last.At)
 }
 
+// wereAnswered reports whether there were answers to prompts with each of the parts.
+func (t *Table) wereAnswered(parts []Part) bool {
+	return !slices.ContainsFunc(parts, func(p Part) bool {
+		_, ok := t.answered.Get(p)
+		return !ok
+	})
+}
+
 // involved returns the crashes that aren't explained for each part that may have caused
 // them and is in enough of them.
 func (t *Table) involved(explained map[*end]bool) map[Part][]*crash {
--- a/core/crquarantine/quarantine_test.go
+++ b/core/crquarantine/quarantine_test.go
@@ -94,9 +94,14 @@
 		},
 		{
 			"an outage of the service",
-			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(300, 2, 2, "p"), crash(900, 3, 3, "p")}, nil,
+			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(300, 2, 2, "p"), crash(900, 3, 3, "p")}, []answer{{-3000, []string{"p"}}},
 			nil, []string{"p"}, true,
 		},
+		{
+			"a part that was never answered in an outage of the service",
+			[]crquarantine.Crash{crash(0, 1, 1, "s", "p"), crash(300, 2, 2, "s", "p"), crash(900, 3, 3, "s", "p")}, []answer{{-3000, []string{"s"}}},
+			[]string{"s p"}, []string{"s"}, true,
+		},
 		{
 			"endpoints that keep their incarnation when they restart",
 			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(1300, 2, 1, "p"), crash(1900, 3, 2, "p")}, nil,
