--- a/core/crquarantine/cause.go
+++ b/core/crquarantine/cause.go
@@ -79,29 +79,29 @@
 // which was sent to the second endpoint after the first had crashed.
 func separate(ends []*end) bool {
 	ends = slices.SortedFunc(slices.Values(ends), func(a, b *end) int { return a.at.Compare(b.at) })
+	// byRequest and spaced are the longest sequences that end at an endpoint where the request
+	// waited, or minSpacing before.
+	waited := 0
+	for _, e := range ends {
+		waited += len(e.requests)
+	}
+	byRequest := make(map[uint64]int, waited)
 	lengths := make([]int, len(ends))
+	spaced, next := 0, 0
 	for i, e := range ends {
-		lengths[i] = 1
-		for k, o := range ends[:i] {
-			if lengths[k] >= lengths[i] && e.follows(o) {
-				lengths[i] = lengths[k] + 1
-			}
+		for ; e.at.Sub(ends[next].at) >= minSpacing; next++ {
+			spaced = max(spaced, lengths[next])
+		}
+		n := spaced
+		for r := range e.requests {
+			n = max(n, byRequest[r])
 		}
+		lengths[i] = n + 1
 		if lengths[i] >= minCrashes {
 			return true
 		}
-	}
-	return false
-}
-
-// follows reports whether an endpoint still worked when another one had crashed.
-func (e *end) follows(o *end) bool {
-	if e.at.Sub(o.at) >= minSpacing {
-		return true
-	}
-	for r := range e.requests {
-		if o.requests[r] {
-			return true
+		for r := range e.requests {
+			byRequest[r] = max(byRequest[r], n+1)
 		}
 	}
 	return false
--- a/core/crquarantine/evidence.go
+++ b/core/crquarantine/evidence.go
@@ -94,5 +94,8 @@
 	t.news = slices.DeleteFunc(t.news, func(o learnedAnswer) bool {
 		return o.Part == a.Part || now.Sub(o.learned) >= newsTime
 	})
+	if len(t.news) >= maxPending {
+		t.news = slices.Delete(t.news, 0, 1)
+	}
 	t.news = append(t.news, learnedAnswer{a, now})
 }
--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -48,7 +48,11 @@
 	// what is told at a time. A datagram has room for them.
 	maxNewsCrashes = 48
 	maxNewsAnswers = 96
-	maxNewsParts   = 2000
+	maxNewsParts   = 1024
+	// maxParts bounds the parts of a crash that are kept, and maxPending the answers that wait
+	// to be told.
+	maxParts   = 256
+	maxPending = 1024
 	// maxWayTime is how much later than it was an answer may seem to another instance, which
 	// doesn't know the time on the way.
 	maxWayTime = 500 * time.Millisecond
@@ -255,7 +259,7 @@
 		if ok {
 			t.addNews(now, Answer{p, at})
 		}
-		if (!ok || !clears(at, c.At)) && !slices.Contains(added.Parts, p) {
+		if (!ok || !clears(at, c.At)) && len(added.Parts) < maxParts && !slices.Contains(added.Parts, p) {
 			added.Parts = append(added.Parts, p)
 		}
 	}
