Let one instance try a part after its quarantine

Ten minutes after its last crash a part was released by all instances at once, so that at a high rate one deadly prompt of each reached an endpoint before the first crash was known. Now one instance, drawn by the part, sends such prompts for a minute; a crash quarantines the part again, and without one the others follow.

Evidence: found by reading. TestOneInstanceTriesAfterQuarantine has eight instances of which one sends; all of them did when the instances took each other for dead in a first form of the test, which is how it failed.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -216,8 +216,8 @@
 	s.lock(now)
 	defer s.mu.Unlock()
 	g := &Grant{state: s, links: a.Links, parts: a.Parts, route: a.Route, started: now, startElapsed: s.Elapsed()}
-	if q, blocked := s.quarantine.Blocked(now, a.Parts); blocked {
-		g.Reason, g.RetryAfter = crplace.Quarantined, q.Until.Sub(now)
+	if until, blocked := s.blockedUntil(now, a.Parts); blocked {
+		g.Reason, g.RetryAfter = crplace.Quarantined, max(crretry.MinReturnDelay, until.Sub(now))
 		return g
 	}
 	choice, newVersion := s.place(now, a)
@@ -358,7 +358,7 @@
 	s := g.state
 	s.lock(now)
 	defer s.mu.Unlock()
-	_, blocked := s.quarantine.Blocked(now, g.parts)
+	_, blocked := s.blockedUntil(now, g.parts)
 	return !blocked && s.Elapsed()-g.startElapsed < grantLifetime && s.placer.MayUse(now, g.Endpoint.Key)
 }
 
--- a/core/crgrant/quarantine.go
+++ b/core/crgrant/quarantine.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// blockedUntil reports whether a prompt with the given parts is kept from endpoints, and until
+// when. One instance tries the first of them after a quarantine.
+func (s *State) blockedUntil(now time.Time, parts []crquarantine.Part) (time.Time, bool) {
+	q, blocked := s.quarantine.Blocked(now, parts)
+	if !blocked || q.OnTrial(now) && s.roster.Chosen(now, uint64(q.Parts[0]), 1) {
+		return time.Time{}, false
+	}
+	return q.Until, true
+}
+
 // quarantinesChanged calls OnQuarantine if other parts are quarantined than at the last
 // call.
 func (s *State) quarantinesChanged(now time.Time) {
--- a/core/crgrant/quarantine_test.go
+++ b/core/crgrant/quarantine_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crquarantine"
+	"crocusrack/core/crroute"
 	pb "crocusrack/schema/crrouter"
 )
 
@@ -74,3 +77,23 @@
 		})
 	}
 }
+
+// TestOneInstanceTriesAfterQuarantine checks that at the end of a quarantine only one instance
+// sends prompts with the part.
+func TestOneInstanceTriesAfterQuarantine(t *testing.T) {
+	f := newFleet(t, 8)
+	f.run(3 * time.Second)
+	f.crashes(100, 0, 0, 0)
+	f.run(10*time.Minute + 4*time.Second)
+	senders := 0
+	for _, name := range f.names {
+		g := f.nodes[name].Grant(f.now, crgrant.Request{Service: crroute.Service{Name: "llm", Engine: true}, Parts: []crquarantine.Part{100}})
+		if g.Endpoint != nil {
+			senders++
+			g.Drop(f.now)
+		}
+	}
+	if senders != 1 {
+		t.Errorf("%d instances send at the end of the quarantine, want 1", senders)
+	}
+}
--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -31,6 +31,9 @@
 	// blockTime is how long after its last crash a part stays quarantined. The request that
 	// is sent then shows whether the endpoints bear it by now.
 	blockTime = 10 * time.Minute
+	// trialTime is how long afterwards only a trial of one instance is allowed. Otherwise the
+	// requests of all instances would show it at once.
+	trialTime = time.Minute
 	// memoryTime is how long crashes count as evidence. It is longer than blockTime, so that
 	// one more crash is enough to quarantine a part again.
 	memoryTime = 2 * time.Hour
@@ -108,6 +111,9 @@
 	Until time.Time `json:"until"`
 }
 
+// OnTrial reports whether the quarantine has ended, but for a trial.
+func (q Quarantine) OnTrial(now time.Time) bool { return !now.Before(q.Until) }
+
 // Table holds the evidence and the quarantines that follow from it. The zero value is
 // empty and ready to use. A Table is not safe for concurrent use.
 type Table struct {
@@ -142,10 +148,10 @@
 }
 
 // Blocked returns the quarantine that a prompt with the given parts falls under, and
-// whether there is one.
+// whether there is one, also if it is on trial.
 func (t *Table) Blocked(now time.Time, parts []Part) (Quarantine, bool) {
 	for _, q := range t.quarantines {
-		if now.Before(q.Until) && containsAll(parts, q.Parts) {
+		if now.Before(q.Until.Add(trialTime)) && containsAll(parts, q.Parts) {
 			return q, true
 		}
 	}
