Name the results of a stall monitor, and log a replaced attempt for what it is

A line said that a broken stream went on, and streams-resumed counted it, also when a request that no part of an answer had been passed on for was answered by its successor. It has a line of its own now.

--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -43,7 +43,7 @@
 		answer, err := x.send(sendCtx, g, lastEvent)
 		first <- sent{answer, err}
 	}()
-	m := x.newStallMonitor(g, firstStallCheck)
+	m := x.newStallMonitor(g)
 	m.abandon = cancel
 	defer m.stop()
 	var overdue <-chan time.Time
@@ -53,7 +53,7 @@
 	for {
 		select {
 		case <-overdue:
-			if m.pursuits == nil || m.probing {
+			if m.results == nil || m.probing {
 				m.discard()
 				m.take(ctx, m.succession.Overdue(), lastEvent)
 			}
@@ -70,8 +70,8 @@
 			return attemptAnswer{grant: g}, s.err
 		case <-m.timer.C:
 			m.silent(ctx, lastEvent)
-		case p := <-m.pursuits:
-			next := m.pursued(ctx, p, lastEvent)
+		case r := <-m.results:
+			next := m.finish(ctx, r, lastEvent)
 			if next == nil {
 				continue
 			}
@@ -93,9 +93,9 @@
 	endpoint   crhop.Endpoint
 	// timer fires after each interval of silence.
 	timer *time.Timer
-	// pursuits receives the result of the pending probe or successor. It is nil while
+	// results receives the result of the pending probe or successor. It is nil while
 	// there is none.
-	pursuits chan pursuit
+	results chan stepResult
 	// probing is true while a probe is pending.
 	probing bool
 	// cancel cancels the pending probe or successor, and abandon the attempt while it has
@@ -103,17 +103,16 @@
 	cancel, abandon context.CancelCauseFunc
 }
 
-// pursuit is the result of a probe or of a successor. The successor is nil if no endpoint
+// stepResult is the result of a probe or of a successor. The successor is nil if no endpoint
 // took the request.
-type pursuit struct {
+type stepResult struct {
 	probe     bool
 	probeErr  error
 	successor *attemptAnswer
 }
 
-// newStallMonitor returns the monitor of an attempt. The first check is made after the
-// given silence.
-func (x *exchange) newStallMonitor(g *crgrant.Grant, firstCheck time.Duration) *stallMonitor {
+// newStallMonitor returns the monitor of an attempt that begins.
+func (x *exchange) newStallMonitor(g *crgrant.Grant) *stallMonitor {
 	return &stallMonitor{
 		exchange: x,
 		succession: crretry.Succession{
@@ -123,7 +122,7 @@
 			Reserve:    x.reserveRepeat,
 		},
 		endpoint: crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address},
-		timer:    time.NewTimer(firstCheck),
+		timer:    time.NewTimer(firstStallCheck),
 	}
 }
 
@@ -143,7 +142,7 @@
 
 // discard cancels a pending probe or successor.
 func (m *stallMonitor) discard() {
-	if m.pursuits == nil {
+	if m.results == nil {
 		return
 	}
 	m.cancel(errSuperseded)
@@ -156,15 +155,15 @@
 // await waits for the pending successor, if any, and returns its answer or nil. A pending
 // probe is canceled.
 func (m *stallMonitor) await() *attemptAnswer {
-	if m.pursuits == nil {
+	if m.results == nil {
 		return nil
 	}
 	if m.probing {
 		m.cancel(errSuperseded)
 	}
-	p := <-m.pursuits
-	m.pursuits = nil
-	return p.successor
+	r := <-m.results
+	m.results = nil
+	return r.successor
 }
 
 // silent is called when the timer fires. The parameter lastEvent is the id of the last
@@ -174,18 +173,18 @@
 	m.take(ctx, m.succession.Silent(stallCheckInterval), lastEvent)
 }
 
-// pursued takes the result of a probe or successor. It returns the answer of a successor
+// finish takes the result of a probe or successor. It returns the answer of a successor
 // that has one.
-func (m *stallMonitor) pursued(ctx context.Context, p pursuit, lastEvent string) *attemptAnswer {
-	m.pursuits = nil
+func (m *stallMonitor) finish(ctx context.Context, r stepResult, lastEvent string) *attemptAnswer {
+	m.results = nil
 	switch {
-	case p.probe:
-		m.take(ctx, m.succession.Probed(p.probeErr == nil), lastEvent)
-	case p.successor == nil:
+	case r.probe:
+		m.take(ctx, m.succession.Probed(r.probeErr == nil), lastEvent)
+	case r.successor == nil:
 		m.succession.Refused()
 		m.logKept()
 	}
-	return p.successor
+	return r.successor
 }
 
 // take starts what a step of the succession asks for.
@@ -196,15 +195,15 @@
 	ctx, m.cancel = context.WithCancelCause(ctx)
 	m.probing = step == crretry.Probe
 	// The buffer lets the goroutine end if nobody waits for the result.
-	pursuits := make(chan pursuit, 1)
-	m.pursuits = pursuits
+	results := make(chan stepResult, 1)
+	m.results = results
 	go func() {
 		if step == crretry.Probe {
 			err := m.Client.Probe(ctx, m.endpoint)
-			pursuits <- pursuit{probe: true, probeErr: err}
+			results <- stepResult{probe: true, probeErr: err}
 			return
 		}
-		pursuits <- pursuit{successor: m.replace(ctx, lastEvent, m.abandon != nil)}
+		results <- stepResult{successor: m.replace(ctx, lastEvent, m.abandon != nil)}
 	}()
 }
 
@@ -267,7 +266,11 @@
 			}
 		}
 		x.trace.recordGrant(g, time.Since(x.start))
-		x.logResumed(g, lastEvent)
+		if unanswered {
+			x.logReplaced(g)
+		} else {
+			x.logResumed(g, lastEvent)
+		}
 		return &attemptAnswer{g, answer}
 	}
 	return nil
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -142,7 +142,7 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go readChunks(answer.Body, chunks, ended)
-	monitor := s.newStallMonitor(g, firstStallCheck)
+	monitor := s.newStallMonitor(g)
 	defer monitor.stop()
 	firstEvent := time.Time{}
 	flushTimer, interval := time.NewTimer(0), s.coalesceInterval()
@@ -157,8 +157,8 @@
 			}
 		case <-monitor.timer.C:
 			monitor.silent(ctx, s.lastEvent())
-		case p := <-monitor.pursuits:
-			if next := monitor.pursued(ctx, p, s.lastEvent()); next != nil {
+		case r := <-monitor.results:
+			if next := monitor.finish(ctx, r, s.lastEvent()); next != nil {
 				return next, errors.Join(errStalled, s.flush(answer))
 			}
 		case c := <-chunks:
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -176,6 +176,13 @@
 		zap.NamedError("last-failure", m.trace.lastErr))
 }
 
+// logReplaced logs that a request is answered by another endpoint than the silent one that it
+// was sent to first.
+func (x *exchange) logReplaced(g *crgrant.Grant) {
+	x.Log.Info("entry: another endpoint answers the request of a silent one",
+		zap.String("request", x.request.ID), zap.String("endpoint", g.Endpoint.ID))
+}
+
 // logResumed counts and logs that a stream continues at another endpoint.
 func (x *exchange) logResumed(g *crgrant.Grant, last string) {
 	x.trace.resumed++
