Let a stream that has begun go on until its caller's deadline

Callers saw streams cut up to 40 ms before their time was over, also when the last event was about to come.

Cause: the margin that lets an error reach its caller in time ended every request, and was taken from the time that the endpoint is told. Class: what works is given up for nothing.

Change: the margin ends only what has no answer yet. A stream that has begun lasts until the end of its time or until its caller leaves; its endpoint is told the whole time.

TestStreamIsNotCutBeforeItsDeadline fails before (cut after the first event) and passes after, with the 504 of a silent endpoint still in time.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -33,8 +33,8 @@
 	// defaultTimeout applies when neither the caller nor the route sets a timeout. It is
 	// also the upper bound of both.
 	defaultTimeout = time.Minute
-	// timeoutMargin is how long before its timeout a request is abandoned, so that the
-	// answer reaches the caller in time. It is at most a tenth of the timeout.
+	// timeoutMargin is how long before its timeout a request without an answer is abandoned,
+	// so that an error reaches the caller in time. It is at most a tenth of the timeout.
 	timeoutMargin = 40 * time.Millisecond
 	// defaultRetryAfter is the Retry-After time of a request that is refused because
 	// this instance has no routing, or none that is fresh enough, and of refusals for
@@ -156,7 +156,11 @@
 	writer   http.ResponseWriter
 	body     []byte
 	start    time.Time
-	deadline time.Time
+	// deadline is when a request without an answer is abandoned, and limit when its time is
+	// over.
+	deadline, limit time.Time
+	// lifetime ends at the limit or when the caller disconnects.
+	lifetime context.Context
 	route    *crroute.Route
 	service  crroute.Service
 	account  *crroute.Account
@@ -235,7 +239,7 @@
 		return false
 	}
 	stop := x.StopAt()
-	return !stop.IsZero() && x.deadline.After(stop)
+	return !stop.IsZero() && x.limit.After(stop)
 }
 
 // findRoute sets the route, the service and, for a model engine, the context links. It
@@ -312,8 +316,8 @@
 	return x.keysFresh() && table.Account(x.request.Key) != nil
 }
 
-// setDeadline sets the deadline to the shortest of the caller's, the route's and the
-// default timeout, less a margin.
+// setDeadline sets the limit to the shortest of the caller's, the route's and the default
+// timeout, and the deadline to a margin before it.
 func (x *exchange) setDeadline() {
 	limit := defaultTimeout
 	if x.request.Timeout > 0 {
@@ -322,7 +326,8 @@
 	if x.route.Timeout > 0 {
 		limit = min(limit, x.route.Timeout)
 	}
-	x.deadline = x.start.Add(limit - min(timeoutMargin, limit/10))
+	x.limit = x.start.Add(limit)
+	x.deadline = x.limit.Add(-min(timeoutMargin, limit/10))
 }
 
 // readBody reads the request's body up to the size limit of the routing. It returns
@@ -356,9 +361,15 @@
 	return true
 }
 
-// context returns a context that ends when the caller disconnects or at the deadline.
+// context sets the lifetime and returns a context that ends with it or at the deadline.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
-	return context.WithDeadline(x.incoming.Context(), x.deadline)
+	lifetime, cancel := context.WithDeadline(x.incoming.Context(), x.limit)
+	ctx, cancelWait := context.WithDeadline(lifetime, x.deadline)
+	x.lifetime = lifetime
+	return ctx, func() {
+		cancelWait()
+		cancel()
+	}
 }
 
 // refuse answers with 503 and a Retry-After header. Use it only while no endpoint has
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -234,12 +234,13 @@
 }
 
 // send makes one attempt at the endpoint of a grant. While it lasts, and afterwards if the
-// request may have been sent, the attempt counts as sent.
+// request may have been sent, the attempt counts as sent. The context bounds the wait for the
+// answer; a stream may go on for the lifetime of the request.
 func (x *exchange) send(ctx context.Context, g *crgrant.Grant, lastEvent string) (*crhop.Answer, error) {
 	header := x.request.Header.Clone()
 	attempt := Attempt{
 		Endpoint:  g.Endpoint.ID,
-		Timeout:   time.Until(x.deadline),
+		Timeout:   time.Until(x.attemptEnd()),
 		LastEvent: lastEvent,
 		Priority:  x.priority,
 		Engine:    x.service.Engine,
@@ -252,7 +253,8 @@
 	}
 	x.Codec.Encode(header, attempt)
 	x.sent.Add(1)
-	answer, err := x.Client.Send(ctx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, &crhop.Request{
+	sendCtx, detach := x.attemptContext(ctx)
+	answer, err := x.Client.Send(sendCtx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, &crhop.Request{
 		Method: x.incoming.Method,
 		Target: x.incoming.RequestURI,
 		Host:   x.incoming.Host,
@@ -268,12 +270,37 @@
 	if errors.As(err, &failure) && !failure.Sent {
 		x.sent.Add(-1)
 	}
+	detach(err)
 	if err == nil {
 		x.applyEndpointHints(g, answer)
 	}
 	return answer, err
 }
 
+// attemptEnd returns when an attempt must end.
+func (x *exchange) attemptEnd() time.Time {
+	if x.route.Kind == crroute.Stream {
+		return x.limit
+	}
+	return x.deadline
+}
+
+// attemptContext returns the context of an attempt, and the function to call with its error
+// when its answer has begun or failed. Until then the context ends with ctx.
+func (x *exchange) attemptContext(ctx context.Context) (context.Context, func(error)) {
+	if x.route.Kind != crroute.Stream {
+		return ctx, func(error) {}
+	}
+	attemptCtx, cancel := context.WithCancelCause(x.lifetime)
+	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	return attemptCtx, func(err error) {
+		stop()
+		if err != nil {
+			cancel(err)
+		}
+	}
+}
+
 // applyEndpointHints applies what the header of an answer says about its endpoint: that
 // it is about to stop, or wants no requests for a time.
 func (x *exchange) applyEndpointHints(g *crgrant.Grant, answer *crhop.Answer) {
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -253,7 +253,7 @@
 			continue
 		}
 		if answer.Status < 300 && x.route.Kind == crroute.Stream {
-			if err := awaitBody(answer); err != nil {
+			if err := awaitBody(ctx, answer); err != nil {
 				answer.Close()
 				x.trace.mayHaveRun = true
 				if errors.Is(context.Cause(ctx), errSuperseded) {
@@ -278,7 +278,9 @@
 
 // awaitBody waits for the first byte of an answer's body, or its end. A header alone doesn't
 // show that the endpoint makes progress.
-func awaitBody(answer *crhop.Answer) error {
+func awaitBody(ctx context.Context, answer *crhop.Answer) error {
+	stop := context.AfterFunc(ctx, answer.Close)
+	defer stop()
 	reader := bufio.NewReaderSize(answer.Body, streamBuffer)
 	answer.Body = reader
 	if _, err := reader.Peek(1); err != io.EOF {
--- a/io/crforward/stall_test.go
+++ b/io/crforward/stall_test.go
@@ -110,3 +110,31 @@
 		t.Errorf("%d repeats are left, want %d or more", left[1], left[0]-streams)
 	}
 }
+
+// TestStreamIsNotCutBeforeItsDeadline checks a stream whose last event comes just before the
+// caller's deadline, and that a request without an answer still gets its error before it.
+func TestStreamIsNotCutBeforeItsDeadline(t *testing.T) {
+	for _, path := range []string{"/draft/", "/reply/"} {
+		late := func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, eventText(1, 1))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(980 * time.Millisecond)
+			_, _ = io.WriteString(w, eventText(2, 2))
+		}
+		runFixture(t, func(r *fixture) {
+			got, _ := r.send(r.t.Context(), path, "", "Deadline", "1s")
+			if diff := cmp.Diff(answer{200, eventText(1, 2), false}, got); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", path, diff)
+			}
+		}, late)
+		runFixture(t, func(r *fixture) {
+			begin := time.Now()
+			got, _ := r.send(r.t.Context(), path, "", "Deadline", "1s")
+			if took := time.Since(begin); got.Status != http.StatusGatewayTimeout || took > 980*time.Millisecond {
+				t.Errorf("%s: status %d after %s, want 504 before the deadline", path, got.Status, took)
+			}
+			// Wait until the endpoint notices that its caller has disconnected.
+			time.Sleep(time.Second)
+		}, silentHandler)
+	}
+}
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -64,6 +64,9 @@
 		}
 		x.trace.lastErr = err
 		x.reportCrash(g, err)
+		if s.started {
+			ctx = x.lifetime
+		}
 		if ctx.Err() != nil {
 			g.Drop(time.Now())
 		} else {
@@ -148,6 +151,9 @@
 	flushTimer, interval := time.NewTimer(0), s.coalesceInterval()
 	defer flushTimer.Stop()
 	for {
+		if s.started {
+			ctx = s.lifetime
+		}
 		select {
 		case <-ctx.Done():
 			return nil, context.Cause(ctx)
