--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -9,40 +9,47 @@
 	"time"
 )
 
+// runEngines runs body with model engines that answer by serve, whose parameter i is the
+// number of the engine.
+func runEngines(t *testing.T, count int, serve func(r *fixture, i int, w http.ResponseWriter, q *http.Request), body func(r *fixture)) {
+	var rigged *fixture
+	var handlers []http.HandlerFunc
+	for i := range count {
+		handlers = append(handlers, func(w http.ResponseWriter, q *http.Request) { serve(rigged, i, w, q) })
+	}
+	runFixture(t, func(r *fixture) {
+		rigged = r
+		r.forwarder.MaxKeyAge = time.Hour
+		routing := testRouting()
+		routing.Version, routing.Services[0].Engine = 2, true
+		r.state.SetRouting(routing)
+		body(r)
+	}, handlers...)
+}
+
+// maxCrashes is the number of crashes after which a part must be known: three, and the repeat
+// that is under way.
+const maxCrashes = 4
+
 // TestPartThatCrashesEndpointsIsKeptFromThem sends prompts with a part on which endpoints
 // crash, before or after the head of their answer, beside sound ones with the same other
-// parts. After three crashes only the repeat that is under way may crash one more, and
-// sound prompts must be answered.
+// parts, which must be answered.
 func TestPartThatCrashesEndpointsIsKeptFromThem(t *testing.T) {
 	for _, path := range []string{"/draft/", "/reply/"} {
 		for _, head := range []bool{false, true} {
-			const endpoints, maxCrashes = 8, 4
-			var rigged *fixture
 			crashes := 0
-			handler := func(i int) http.HandlerFunc {
-				return func(w http.ResponseWriter, q *http.Request) {
-					if !strings.Contains(q.Header.Get("Parts"), "deadly") {
-						_, _ = io.WriteString(w, eventText(1, 2))
-						return
-					}
-					if head {
-						_ = http.NewResponseController(w).Flush()
-						time.Sleep(20 * time.Millisecond)
-					}
-					crashes++
-					rigged.servers[i].Close()
+			runEngines(t, 8, func(r *fixture, i int, w http.ResponseWriter, q *http.Request) {
+				if !strings.Contains(q.Header.Get("Parts"), "deadly") {
+					_, _ = io.WriteString(w, eventText(1, 2))
+					return
 				}
-			}
-			var handlers []http.HandlerFunc
-			for i := range endpoints {
-				handlers = append(handlers, handler(i))
-			}
-			runFixture(t, func(r *fixture) {
-				rigged = r
-				r.forwarder.MaxKeyAge = time.Hour
-				routing := testRouting()
-				routing.Version, routing.Services[0].Engine = 2, true
-				r.state.SetRouting(routing)
+				if head {
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(20 * time.Millisecond)
+				}
+				crashes++
+				r.servers[i].Close()
+			}, func(r *fixture) {
 				for i := range 20 {
 					parts := fmt.Sprintf("system tenant-%d own-%d", i%3, i)
 					if got, _ := r.send(r.t.Context(), path, "", "Id", fmt.Sprint("sound-", i), "Parts", parts); got.Status != http.StatusOK {
@@ -55,7 +62,7 @@
 					}
 					time.Sleep(200 * time.Millisecond)
 				}
-			}, handlers...)
+			})
 			if crashes > maxCrashes {
 				t.Errorf("%s, head %t: %d crashes, want %d at most", path, head, crashes, maxCrashes)
 			}
@@ -66,35 +73,21 @@
 // TestOnlyAnswersOfEnginesClearParts checks that an answer that no engine made by reading the
 // prompt doesn't release a part on which endpoints crash.
 func TestOnlyAnswersOfEnginesClearParts(t *testing.T) {
-	const endpoints = 8
-	var rigged *fixture
 	crashes := 0
-	handler := func(i int) http.HandlerFunc {
-		return func(w http.ResponseWriter, q *http.Request) {
-			switch id := q.Header.Get("Id"); {
-			case strings.HasPrefix(id, "wrong"):
-				w.WriteHeader(http.StatusUnprocessableEntity)
-				return
-			case strings.HasPrefix(id, "empty"):
-				return
-			case strings.HasPrefix(id, "sound"):
-				_, _ = io.WriteString(w, eventText(1, 2))
-				return
-			}
-			crashes++
-			rigged.servers[i].Close()
+	runEngines(t, 8, func(r *fixture, i int, w http.ResponseWriter, q *http.Request) {
+		switch id := q.Header.Get("Id"); {
+		case strings.HasPrefix(id, "wrong"):
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return
+		case strings.HasPrefix(id, "empty"):
+			return
+		case strings.HasPrefix(id, "sound"):
+			_, _ = io.WriteString(w, eventText(1, 2))
+			return
 		}
-	}
-	var handlers []http.HandlerFunc
-	for i := range endpoints {
-		handlers = append(handlers, handler(i))
-	}
-	runFixture(t, func(r *fixture) {
-		rigged = r
-		r.forwarder.MaxKeyAge = time.Hour
-		routing := testRouting()
-		routing.Version, routing.Services[0].Engine = 2, true
-		r.state.SetRouting(routing)
+		crashes++
+		r.servers[i].Close()
+	}, func(r *fixture) {
 		for i := range 6 {
 			r.send(r.t.Context(), "/reply/", "", "Id", fmt.Sprint("sound-", i), "Parts", fmt.Sprintf("other sound-%d", i))
 			r.send(r.t.Context(), "/draft/", "", "Id", fmt.Sprint("wrong-", i), "Parts", fmt.Sprintf("system deadly wrong-%d", i))
@@ -102,35 +95,22 @@
 			r.send(r.t.Context(), "/draft/", "", "Id", fmt.Sprint("deadly-", i), "Parts", fmt.Sprintf("system deadly own-%d", i))
 			time.Sleep(200 * time.Millisecond)
 		}
-	}, handlers...)
-	if crashes > 4 {
-		t.Errorf("%d crashes, want 4 at most", crashes)
+	})
+	if crashes > maxCrashes {
+		t.Errorf("%d crashes, want %d at most", crashes, maxCrashes)
 	}
 }
 
 // TestLongAnswersClearParts checks that the parts of prompts with answers too long to buffer
 // aren't taken for the cause of crashes.
 func TestLongAnswersClearParts(t *testing.T) {
-	var rigged *fixture
-	handler := func(i int) http.HandlerFunc {
-		return func(w http.ResponseWriter, q *http.Request) {
-			if strings.HasPrefix(q.Header.Get("Id"), "crash") {
-				rigged.servers[i].Close()
-				return
-			}
-			_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+	runEngines(t, 16, func(r *fixture, i int, w http.ResponseWriter, q *http.Request) {
+		if strings.HasPrefix(q.Header.Get("Id"), "crash") {
+			r.servers[i].Close()
+			return
 		}
-	}
-	var handlers []http.HandlerFunc
-	for i := range 16 {
-		handlers = append(handlers, handler(i))
-	}
-	runFixture(t, func(r *fixture) {
-		rigged = r
-		r.forwarder.MaxKeyAge = time.Hour
-		routing := testRouting()
-		routing.Version, routing.Services[0].Engine = 2, true
-		r.state.SetRouting(routing)
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+	}, func(r *fixture) {
 		for i := range 4 {
 			r.send(r.t.Context(), "/read/", "", "Id", fmt.Sprint("crash-", i), "Parts", fmt.Sprintf("system own-%d", i))
 			time.Sleep(200 * time.Millisecond)
@@ -139,5 +119,5 @@
 				t.Errorf("a request with a part that is answered got %d %q", got.Status, got.Body[:min(len(got.Body), 30)])
 			}
 		}
-	}, handlers...)
+	})
 }
