End what isn't a stream with the wait for it

A failure that an endpoint answers to the request for a stream, and whose end doesn't come, delayed the caller's 504 until after the deadline. As the answer to a successor it also held back the answer of the first endpoint: a sound stream ended as 504.

Cause: since any head separates an attempt from the context of the wait, while answers other than streams are still read to their end before the caller gets anything. A canceled successor went on reading.

Change: only the head of a stream separates the attempt.

--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -234,8 +234,8 @@
 }
 
 // send makes one attempt at the endpoint of a grant. While it lasts, and afterwards if the
-// request may have been sent, the attempt counts as sent. The context bounds the wait for the
-// answer; a stream may go on for the lifetime of the request.
+// request may have been sent, the attempt counts as sent. The context bounds the attempt until
+// a stream begins, which may go on for the lifetime of the request.
 func (x *exchange) send(ctx context.Context, g *crgrant.Grant, lastEvent string) (*crhop.Answer, error) {
 	header := x.request.Header.Clone()
 	attempt := Attempt{
@@ -270,7 +270,7 @@
 	if errors.As(err, &failure) && !failure.Sent {
 		x.sent.Add(-1)
 	}
-	detach(err)
+	detach(answer, err)
 	if err == nil {
 		x.applyEndpointHints(g, answer)
 	}
@@ -285,18 +285,21 @@
 	return x.deadline
 }
 
-// attemptContext returns the context of an attempt, and the function to call with its error
-// when its answer has begun or failed. Until then the context ends with ctx.
-func (x *exchange) attemptContext(ctx context.Context) (context.Context, func(error)) {
+// attemptContext returns the context of an attempt, and the function to call with its answer
+// or error. The context ends with ctx unless the answer is a stream.
+func (x *exchange) attemptContext(ctx context.Context) (context.Context, func(*crhop.Answer, error)) {
 	if x.route.Kind != crroute.Stream {
-		return ctx, func(error) {}
+		return ctx, func(*crhop.Answer, error) {}
 	}
 	attemptCtx, cancel := context.WithCancelCause(x.lifetime)
 	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
-	return attemptCtx, func(err error) {
-		stop()
-		if err != nil {
+	return attemptCtx, func(answer *crhop.Answer, err error) {
+		switch {
+		case err != nil:
+			stop()
 			cancel(err)
+		case answer.Status < http.StatusMultipleChoices:
+			stop()
 		}
 	}
 }
--- a/io/crforward/stall_test.go
+++ b/io/crforward/stall_test.go
@@ -138,3 +138,46 @@
 		}, silentHandler)
 	}
 }
+
+// failsWithoutEnd sends the head of an answer that the endpoint failed, but no end.
+func failsWithoutEnd(w http.ResponseWriter, q *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+	headerOnly(w, q)
+}
+
+// TestFailureWithoutEnd checks that an endless answer with a failure, for a stream, delays
+// neither the error that its caller gets nor the answer of another endpoint.
+func TestFailureWithoutEnd(t *testing.T) {
+	for _, path := range []string{"/draft/", "/reply/"} {
+		runFixture(t, func(r *fixture) {
+			begin := time.Now()
+			got, _ := r.send(r.t.Context(), path, "", "Deadline", "1s")
+			if took := time.Since(begin); got.Status != http.StatusGatewayTimeout || took > 980*time.Millisecond {
+				t.Errorf("%s: status %d after %s, want 504 before the deadline", path, got.Status, took)
+			}
+			// Wait until the endpoint notices that its caller has disconnected.
+			time.Sleep(time.Second)
+		}, failsWithoutEnd)
+	}
+	var arrived atomic.Int64
+	either := func(w http.ResponseWriter, q *http.Request) {
+		if arrived.Add(1) > 1 {
+			failsWithoutEnd(w, q)
+			return
+		}
+		time.Sleep(4 * time.Second)
+		_, _ = io.WriteString(w, eventText(1, 1))
+	}
+	runFixture(t, func(r *fixture) {
+		r.forwarder.MaxKeyAge = time.Hour
+		begin := time.Now()
+		got, _ := r.send(r.t.Context(), "/draft/", "", "Deadline", "20s")
+		if diff := cmp.Diff(answer{200, eventText(1, 1), false}, got); diff != "" {
+			t.Errorf("arrivals %q (-want +got):\n%s", r.arrivals, diff)
+		}
+		if took := time.Since(begin); took > 5*time.Second || arrived.Load() < 2 {
+			t.Errorf("answered after %s with %d attempts, want 4 s and a successor", took, arrived.Load())
+		}
+		time.Sleep(5 * time.Second)
+	}, either, either)
+}
