Keep a prompt back while any of its quarantines is in force

Cause: a prompt that falls under two quarantines was judged by the first of them, the one with more crashes. When that was on trial, the chosen instance sent the prompt although the other was in force, and others gave its callers the time of the wrong one.

Change: the quarantine that lasts longest decides.

Evidence: TestTrialOfOneOfTwo fails before and passes after.

--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -114,6 +114,10 @@
 // OnTrial reports whether the quarantine has ended, but for a trial.
 func (q Quarantine) OnTrial(now time.Time) bool { return !now.Before(q.Until) }
 
+// TrialEnd returns when requests are no longer kept from endpoints unless there is another
+// crash.
+func (q Quarantine) TrialEnd() time.Time { return q.Until.Add(trialTime) }
+
 // Table holds the evidence and the quarantines that follow from it. The zero value is
 // empty and ready to use. A Table is not safe for concurrent use.
 type Table struct {
@@ -148,14 +152,15 @@
 }
 
 // Blocked returns the quarantine that a prompt with the given parts falls under, and
-// whether there is one, also if it is on trial.
+// whether there is one, also if it is on trial. Among several it is the one that lasts longest.
 func (t *Table) Blocked(now time.Time, parts []Part) (Quarantine, bool) {
+	var last Quarantine
 	for _, q := range t.quarantines {
-		if now.Before(q.Until.Add(trialTime)) && containsAll(parts, q.Parts) {
-			return q, true
+		if now.Before(q.TrialEnd()) && q.Until.After(last.Until) && containsAll(parts, q.Parts) {
+			last = q
 		}
 	}
-	return Quarantine{}, false
+	return last, len(last.Parts) > 0
 }
 
 // Quarantines returns the quarantines in force.
--- a/core/crquarantine/quarantine_test.go
+++ b/core/crquarantine/quarantine_test.go
@@ -218,3 +218,26 @@
 		t.Error("not blocked after one more crash")
 	}
 }
+
+// TestTrialOfOneOfTwo checks a prompt with a part that is on trial and one that is still
+// quarantined.
+func TestTrialOfOneOfTwo(t *testing.T) {
+	const minute = 60_000
+	var table crquarantine.Table
+	table.RecordAnswer(at(0), service, nil)
+	for i := range 4 {
+		table.RecordCrash(at(1000*i), crash(1000*i, uint64(i), uint64(i), "p"))
+	}
+	table.RecordAnswer(at(2*minute), service, nil)
+	for i := range 3 {
+		ms := 2*minute + 1000*i
+		table.RecordCrash(at(ms), crash(ms, uint64(10+i), uint64(10+i), "q"))
+	}
+	now := at(10*minute + 30_000)
+	if q, ok := table.Blocked(now, parts("p")); !ok || !q.OnTrial(now) {
+		t.Error("the first part isn't on trial")
+	}
+	if q, ok := table.Blocked(now, parts("p", "q")); !ok || q.OnTrial(now) {
+		t.Error("a prompt with both parts is on trial")
+	}
+}
