Tell requests refused during a trial to return after it

Cause: the end of the quarantine is past by then, so that Retry-After was the minimum of 20 ms. Callers that came back every 20 ms soon met the one instance that lets their prompt through, before it had seen the first crash.

Change: they are told the end of the trial. They wait up to a minute longer than needed if the trial succeeds at once.

Evidence: TestReturnAfterTrial fails before (20 ms at 7 of 8 instances) and passes after.

--- a/core/crgrant/quarantine.go
+++ b/core/crgrant/quarantine.go
@@ -48,6 +48,9 @@
 	if !blocked || q.OnTrial(now) && s.roster.Chosen(now, uint64(q.Parts[0]), 1) {
 		return time.Time{}, false
 	}
+	if q.OnTrial(now) {
+		return q.TrialEnd(), true
+	}
 	return q.Until, true
 }
 
--- a/core/crgrant/quarantine_test.go
+++ b/core/crgrant/quarantine_test.go
@@ -97,3 +97,21 @@
 		t.Errorf("%d instances send at the end of the quarantine, want 1", senders)
 	}
 }
+
+// TestReturnAfterTrial checks that requests which are refused during the trial after a
+// quarantine are told to return after it, so that they don't all reach the instance that
+// makes it.
+func TestReturnAfterTrial(t *testing.T) {
+	f := newFleet(t, 8)
+	f.run(3 * time.Second)
+	f.crashes(100, 0, 0, 0)
+	f.run(10*time.Minute + 4*time.Second)
+	for _, name := range f.names {
+		g := f.nodes[name].Grant(f.now, crgrant.Request{Service: crroute.Service{Name: "llm", Engine: true}, Parts: []crquarantine.Part{100}})
+		if g.Endpoint != nil {
+			g.Drop(f.now)
+		} else if g.RetryAfter < 30*time.Second || g.RetryAfter > time.Minute {
+			t.Errorf("%s: return after %s, want after the trial", name, g.RetryAfter)
+		}
+	}
+}
