Send one request at a time in the trial after a quarantine

The chosen instance let all prompts with the part through during the trial, 20 of 20 at once in a test of the review, and each may crash an endpoint. Now it sends one in two seconds, by when a crash under the first is known. Quarantines whose trial is over no longer take the places of others. Comments follow the review.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -88,6 +88,8 @@
 	quarantine crquarantine.Table
 	// quarantineHash is the hash of the quarantines that OnQuarantine was called with last.
 	quarantineHash uint64
+	// trials holds when the last request of each trial was sent.
+	trials map[crquarantine.Part]time.Time
 	// differences holds the last differences of quarantines by the sender of the message.
 	differences map[string]difference
 	// rolloutsRevision is the revision of the orders in rollouts.
@@ -208,6 +210,8 @@
 	// read is true once the endpoint has read the prompt, and answered once its answer goes
 	// on.
 	read, answered bool
+	// trial is true if the request is sent in the trial after a quarantine.
+	trial bool
 }
 
 // Grant selects an endpoint and counts the request as in flight there. If no endpoint can
@@ -216,7 +220,8 @@
 	s.lock(now)
 	defer s.mu.Unlock()
 	g := &Grant{state: s, links: a.Links, parts: a.Parts, route: a.Route, started: now, startElapsed: s.Elapsed()}
-	if until, blocked := s.blockedUntil(now, a.Parts); blocked {
+	until, trial, blocked := s.blockedUntil(now, a.Parts)
+	if blocked {
 		g.Reason, g.RetryAfter = crplace.Quarantined, max(crretry.MinReturnDelay, until.Sub(now))
 		return g
 	}
@@ -228,6 +233,10 @@
 		}
 		return g
 	}
+	if trial != 0 {
+		g.trial = true
+		s.startTrial(now, trial)
+	}
 	s.work.Start(choice.Endpoint.Key)
 	s.recordPlacement(now, a.Links, choice)
 	return g
@@ -358,8 +367,8 @@
 	s := g.state
 	s.lock(now)
 	defer s.mu.Unlock()
-	_, blocked := s.blockedUntil(now, g.parts)
-	return !blocked && s.Elapsed()-g.startElapsed < grantLifetime && s.placer.MayUse(now, g.Endpoint.Key)
+	_, _, blocked := s.blockedUntil(now, g.parts)
+	return (!blocked || g.trial) && s.Elapsed()-g.startElapsed < grantLifetime && s.placer.MayUse(now, g.Endpoint.Key)
 }
 
 // End removes the request from the requests in flight and records its outcome. It reports
--- a/core/crgrant/quarantine.go
+++ b/core/crgrant/quarantine.go
@@ -41,17 +41,37 @@
 	}
 }
 
+// trialInterval is the time between two requests of a trial. A crash under the first one is
+// known by then.
+const trialInterval = 2 * time.Second
+
 // blockedUntil reports whether a prompt with the given parts is kept from endpoints, and until
-// when. One instance tries the first of them after a quarantine.
-func (s *State) blockedUntil(now time.Time, parts []crquarantine.Part) (time.Time, bool) {
+// when. During a trial one instance may send such prompts, one in each trialInterval; trial is
+// then the part that stands for the quarantine.
+func (s *State) blockedUntil(now time.Time, parts []crquarantine.Part) (until time.Time, trial crquarantine.Part, blocked bool) {
 	q, blocked := s.quarantine.Blocked(now, parts)
-	if !blocked || q.OnTrial(now) && s.roster.Chosen(now, uint64(q.Parts[0]), 1) {
-		return time.Time{}, false
+	switch {
+	case !blocked:
+		return time.Time{}, 0, false
+	case !q.OnTrial(now):
+		return q.Until, 0, true
+	case s.roster.Chosen(now, uint64(q.Parts[0]), 1) && now.Sub(s.trials[q.Parts[0]]) >= trialInterval:
+		return time.Time{}, q.Parts[0], false
+	}
+	return q.TrialEnd(), 0, true
+}
+
+// startTrial records that a request of a trial is sent.
+func (s *State) startTrial(now time.Time, p crquarantine.Part) {
+	for o, at := range s.trials {
+		if now.Sub(at) >= trialInterval {
+			delete(s.trials, o)
+		}
 	}
-	if q.OnTrial(now) {
-		return q.TrialEnd(), true
+	if s.trials == nil {
+		s.trials = make(map[crquarantine.Part]time.Time)
 	}
-	return q.Until, true
+	s.trials[p] = now
 }
 
 // quarantinesChanged calls OnQuarantine if other parts are quarantined than at the last
--- a/core/crgrant/quarantine_test.go
+++ b/core/crgrant/quarantine_test.go
@@ -91,6 +91,9 @@
 		if g.Endpoint != nil {
 			senders++
 			g.Drop(f.now)
+			if next := f.nodes[name].Grant(f.now, crgrant.Request{Service: crroute.Service{Name: "llm", Engine: true}, Parts: []crquarantine.Part{100}}); next.Endpoint != nil {
+				t.Errorf("%s sends two requests at once", name)
+			}
 		}
 	}
 	if senders != 1 {
--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -31,8 +31,8 @@
 	// blockTime is how long after its last crash a part stays quarantined. The request that
 	// is sent then shows whether the endpoints bear it by now.
 	blockTime = 10 * time.Minute
-	// trialTime is how long afterwards only a trial of one instance is allowed. Otherwise the
-	// requests of all instances would show it at once.
+	// trialTime is how long afterwards only one instance may send such requests. Otherwise all
+	// instances would send them at the same time.
 	trialTime = time.Minute
 	// memoryTime is how long crashes count as evidence. It is longer than blockTime, so that
 	// one more crash is enough to quarantine a part again.
@@ -111,7 +111,7 @@
 	Until time.Time `json:"until"`
 }
 
-// OnTrial reports whether the quarantine has ended, but for a trial.
+// OnTrial reports whether only the instance that makes the trial may send requests.
 func (q Quarantine) OnTrial(now time.Time) bool { return !now.Before(q.Until) }
 
 // TrialEnd returns when requests are no longer kept from endpoints unless there is another
@@ -201,8 +201,8 @@
 	return cleared
 }
 
-// RecordCrash records a crash. It reports whether the crash is new and no answer clears all
-// of its parts.
+// RecordCrash records a crash. It reports whether the crash is new and at least one of its
+// parts isn't cleared by an answer.
 func (t *Table) RecordCrash(now time.Time, c Crash) bool {
 	if !t.addCrash(now, c) {
 		return false
@@ -355,7 +355,9 @@
 		for _, c := range best.crashes {
 			c.supports = true
 		}
-		t.quarantines = append(t.quarantines, q)
+		if now.Before(q.TrialEnd()) {
+			t.quarantines = append(t.quarantines, q)
+		}
 	}
 	t.evict()
 }
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -76,7 +76,7 @@
 type Attempt struct {
 	// Endpoint is the id of the endpoint that the attempt is sent to.
 	Endpoint string
-	// Timeout is the time until the request's deadline.
+	// Timeout is how long the endpoint may take.
 	Timeout time.Duration
 	// Account is the name of the client account. Empty means that the route needs no
 	// key.
@@ -156,8 +156,8 @@
 	writer   http.ResponseWriter
 	body     []byte
 	start    time.Time
-	// deadline is when a request without an answer is abandoned, and limit when its time is
-	// over.
+	// deadline is when a request without an answer is abandoned, and limit the caller's
+	// deadline, at which a stream ends.
 	deadline, limit time.Time
 	// lifetime ends at the limit or when the caller disconnects.
 	lifetime context.Context
@@ -232,7 +232,7 @@
 	return x.readBody()
 }
 
-// outlastsStop reports whether the request's deadline is after the planned end of the
+// outlastsStop reports whether the request's limit is after the planned end of the
 // process, which would cut the request off.
 func (x *exchange) outlastsStop() bool {
 	if x.StopAt == nil {
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -253,7 +253,7 @@
 	}
 	x.Codec.Encode(header, attempt)
 	x.sent.Add(1)
-	sendCtx, detach := x.attemptContext(ctx)
+	sendCtx, settle := x.attemptContext(ctx)
 	answer, err := x.Client.Send(sendCtx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, &crhop.Request{
 		Method: x.incoming.Method,
 		Target: x.incoming.RequestURI,
@@ -270,7 +270,7 @@
 	if errors.As(err, &failure) && !failure.Sent {
 		x.sent.Add(-1)
 	}
-	detach(answer, err)
+	settle(answer, err)
 	if err == nil {
 		x.applyEndpointHints(g, answer)
 	}
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -277,7 +277,7 @@
 }
 
 // awaitBody waits for the first byte of an answer's body, or its end. A header alone doesn't
-// show that the endpoint makes progress.
+// show that the endpoint makes progress. The answer is closed if the context ends first.
 func awaitBody(ctx context.Context, answer *crhop.Answer) error {
 	stop := context.AfterFunc(ctx, answer.Close)
 	defer stop()
