Answer an instance that hears nobody, also if it is known

Cause: an instance is sent a report, which names others to it, only in answer to the first report of its run. In a large failure domain nobody but the relay reports to it, and the relay wasn't told of it: each report names two of the instances that are new, for three seconds, and 100 started at once. An instance whose first answers are lost is in the same state, in fleets of up to 16 for good, since new ones weren't announced there. It has no evidence of crashes, no work of others and no news until it reads the store.

Change: reports say already whether their sender seeks others. New instances are announced in small fleets, too. Contacts that were heard from at the same time are sorted by name, so that a simulated fleet plays the same each time. Old releases send and read the same messages.

TestLonelyInstanceIsAnswered failed before (3, 30 and 99 instances: it knew 0 or 1 others). The other tests of the package pass.

--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -19,11 +19,12 @@
 // fleet simulates instances in three failure domains that exchange reports as crlink does:
 // a report every 200 ms and a digest every 400 ms. Messages arrive without delay.
 type fleet struct {
-	t     testing.TB
-	now   time.Time
-	nodes map[string]*node
-	names []string
-	down  map[string]bool
+	t         testing.TB
+	now       time.Time
+	nodes     map[string]*node
+	names     []string
+	endpoints []*crplace.Endpoint
+	down      map[string]bool
 	// crossing counts the bytes sent between failure domains, and inside those within
 	// them.
 	crossing, inside int
@@ -40,17 +41,11 @@
 
 func newFleet(t testing.TB, size int) *fleet {
 	f := &fleet{t: t, now: start, nodes: map[string]*node{}, down: map[string]bool{}, sent: map[string]int{}, messages: map[string]int{}, cut: map[[2]string]bool{}}
-	var list []*crplace.Endpoint
 	for i := range 9 {
-		list = append(list, endpoint(t, fmt.Sprint("llm-", i)))
+		f.endpoints = append(f.endpoints, endpoint(t, fmt.Sprint("llm-", i)))
 	}
 	for i := range size {
-		n := newNode(i)
-		n.Self.FailureDomain = []string{"noord-a", "noord-b", "noord-c"}[i%3]
-		n.SetEndpoints(start, 1, list)
-		n.SetRouting(&pb.Routing{Version: 3})
-		f.nodes[n.Self.Name] = n
-		f.names = append(f.names, n.Self.Name)
+		f.add(i)
 	}
 	first := f.nodes[f.names[0]]
 	for _, name := range f.names {
@@ -60,6 +55,17 @@
 	return f
 }
 
+// add adds an instance that knows no others.
+func (f *fleet) add(i int) *node {
+	n := newNode(i)
+	n.Self.FailureDomain = []string{"noord-a", "noord-b", "noord-c"}[i%3]
+	n.SetEndpoints(f.now, 1, f.endpoints)
+	n.SetRouting(&pb.Routing{Version: 3})
+	f.nodes[n.Self.Name] = n
+	f.names = append(f.names, n.Self.Name)
+	return n
+}
+
 func (f *fleet) deliver(from, to string, m *pb.Report) {
 	f.t.Helper()
 	sender, receiver := f.nodes[from], f.nodes[to]
@@ -86,7 +92,7 @@
 	for _, d := range h.Forward {
 		f.deliver(to, f.name(d.To), d.Report)
 	}
-	if h.New {
+	if h.Answer {
 		reply := receiver.Compose(f.now, from)
 		if h.Introduce {
 			receiver.Introduce(f.now, sender.Self.FailureDomain, reply)
@@ -194,6 +200,43 @@
 	}
 }
 
+// TestLonelyInstanceIsAnswered checks that an instance which hears nobody, because the
+// answers to its first reports were lost, gets to know the fleet from the instance that it
+// reports to.
+func TestLonelyInstanceIsAnswered(t *testing.T) {
+	for _, size := range []int{3, 30, 99} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newFleet(t, size)
+			f.run(3 * time.Second)
+			lonely := f.add(size)
+			known := f.nodes[f.names[1]]
+			lonely.Add(f.now, known.Self)
+			f.pass = func(_, to string, m *pb.Report) *pb.Report {
+				if to == lonely.Self.Name {
+					return nil
+				}
+				return m
+			}
+			// The fleet announces a new instance for 3 s.
+			f.run(4 * time.Second)
+			f.pass = nil
+			f.run(3 * time.Second)
+			if got := len(lonely.Alive(f.now)); got != size {
+				t.Errorf("%s knows %d others, want %d", lonely.Self.Name, got, size)
+			}
+			unaware := 0
+			for _, name := range f.names[:size] {
+				if len(f.nodes[name].Alive(f.now)) != size {
+					unaware++
+				}
+			}
+			if unaware > 0 {
+				t.Errorf("%d instances don't know all others", unaware)
+			}
+		})
+	}
+}
+
 // TestRelayIsReplaced checks that another instance takes over when the relay of a failure
 // domain fails, and that no live instance is considered lost meanwhile.
 func TestRelayIsReplaced(t *testing.T) {
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -242,8 +242,9 @@
 	From crliveness.Instance
 	// New is true for the first report of a run of an instance.
 	New bool
-	// Introduce is true if the sender should be told about other instances.
-	Introduce bool
+	// Answer is true if the sender should be sent a report at once, and Introduce if that
+	// report should name other instances.
+	Answer, Introduce bool
 	// Behind is true if the sender has a newer version of the routing, of the endpoints or
 	// of the failure domains that are out of service.
 	Behind bool
@@ -283,9 +284,9 @@
 	if !s.recordReport(now, from, m) {
 		return ReceiveResult{From: from}, nil
 	}
-	h := ReceiveResult{
-		From: from, New: !known, Behind: s.isBehind(m),
-		Introduce: !known && s.roster.TellsNewInstance(now, from.Name, m.GetSeeking()),
+	h := ReceiveResult{From: from, New: !known, Behind: s.isBehind(m)}
+	if s.roster.MustAnswer(now, from.Name, h.New, m.GetSeeking()) {
+		h.Answer, h.Introduce = true, s.roster.TellsNewInstance(now, from.Name, m.GetSeeking())
 	}
 	if m.GetToRelay() && m.Digest == nil {
 		s.roster.AddFollower(now, from.Name)
--- a/core/crliveness/introduce.go
+++ b/core/crliveness/introduce.go
@@ -1,12 +1,25 @@
 package crliveness
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"crocusrack/core/crhash"
 )
 
+// MustAnswer reports whether the named instance is sent a report in reply to its own: if that
+// is the first one of its run, or if it seeks others, since it hears from none. An earlier
+// answer to it may have been lost. It is answered once in SilentAfter then.
+func (r *Roster) MustAnswer(now time.Time, name string, first, seeking bool) bool {
+	e := r.peers[name]
+	if e == nil || !first && !(seeking && now.Sub(e.answered) >= SilentAfter) {
+		return false
+	}
+	e.answered = now
+	return true
+}
+
 // TellsNewInstance reports whether this instance tells a new instance about others. In a
 // large fleet, three instances do, and those that the new one asked. In a large
 // failure domain the bulletins of its relay name the instances of the domain.
@@ -37,13 +50,10 @@
 }
 
 // RecentlyAdded returns some recently added instances, different ones at each tick. It
-// covers two cases: of two instances that start at the same time neither may have been
-// told about the other, and a relay may not have been told about a new instance of
-// another domain.
+// covers three cases: of two instances that start at the same time neither may have been
+// told about the other, a relay may not have been told about a new instance of another
+// domain, and the answer that names others to a new instance may be lost.
 func (r *Roster) RecentlyAdded(now time.Time) []Instance {
-	if !r.Large(now) {
-		return nil
-	}
 	var list []Instance
 	for _, e := range r.peers {
 		if now.Sub(e.added) < newsDuration && (e.FailureDomain == r.Self.FailureDomain || r.alive(now, e)) {
@@ -70,7 +80,7 @@
 	}
 	var list []Instance
 	for _, entries := range domains {
-		slices.SortFunc(entries, func(a, b *entry) int { return b.heard.Compare(a.heard) })
+		slices.SortFunc(entries, func(a, b *entry) int { return cmp.Or(b.heard.Compare(a.heard), cmp.Compare(a.Name, b.Name)) })
 		for _, e := range entries[:min(contacts, len(entries))] {
 			list = append(list, e.Instance)
 		}
--- a/core/crliveness/roster.go
+++ b/core/crliveness/roster.go
@@ -96,6 +96,8 @@
 	// heardDirectly is the time of its last report to this instance. relaySince is the
 	// time since which this instance has treated it as the relay without such a report.
 	heardDirectly, relaySince time.Time
+	// answered is the time of the last answer to one of its reports.
+	answered time.Time
 	// followed is the time when it last treated this instance as the relay of its
 	// domain.
 	followed time.Time
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -243,9 +243,11 @@
 	}
 	if heard.New {
 		l.Log.Info("link: an instance reports", zap.String("instance", heard.From.Name), zap.Uint64("run", m.GetRun()))
+	}
+	if heard.Answer {
 		reply := l.State.Compose(now, heard.From.Name)
 		if heard.Introduce {
-			// Adds instances that are known here to the reply to the new one.
+			// Adds instances that are known here to the reply.
 			l.State.Introduce(now, heard.From.FailureDomain, reply)
 		}
 		l.send(heard.From.Peer, reply)
