Answer nothing to a caller that has left

A caller that closes its connection for writing alone counts as one that left. It could still read, and got an empty 200 without the endpoint's seal (MIXED): the handler returned without an answer, for which net/http writes a success. Such a request now ends with its connection.

TestCallerThatLeftGetsNoSuccess fails on for all four routes with "HTTP/1.1 200 OK ... Content-Length: 0", and passes with this change.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -52,6 +52,8 @@
 	// is answered with 503 instead of 404 or 401: the route or key may have been added
 	// since.
 	maxDenyAge = 4 * time.Second
+	// callerLeft is the outcome of a request whose caller has disconnected.
+	callerLeft = "caller-left"
 )
 
 // Request holds the fields that Codec.Decode reads from a caller's request.
@@ -205,6 +207,11 @@
 	if x.accept() {
 		x.run()
 	}
+	if x.trace.reason == callerLeft {
+		// A caller that has closed its connection for writing alone still reads, and net/http
+		// would answer 200.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // accept checks a request and reads its body. It returns false after it has answered the
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -145,7 +145,7 @@
 func (x *exchange) answerFailure(ctx context.Context, retryAfter time.Duration) {
 	switch {
 	case x.incoming.Context().Err() != nil:
-		x.trace.recordEnd(0, "caller-left", nil)
+		x.trace.recordEnd(0, callerLeft, nil)
 	case x.failure != nil:
 		x.writeAnswer(x.failure)
 	case !x.trace.mayHaveRun:
@@ -328,7 +328,7 @@
 	x.trace.lastErr = err
 	if x.incoming.Context().Err() != nil {
 		g.Drop(time.Now())
-		x.trace.recordEnd(0, "caller-left", nil)
+		x.trace.recordEnd(0, callerLeft, nil)
 		return result{verdict: done}
 	}
 	var failure *crhop.Error
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -60,7 +60,7 @@
 				next.answer.Close()
 				next.grant.Drop(time.Now())
 			}
-			x.abort("caller-left", s.writeErr)
+			x.abort(callerLeft, s.writeErr)
 		}
 		x.trace.lastErr = err
 		x.reportCrash(g, err)
