Send no request of a caller that had left before it was read

If data follows the request, net/http doesn't notice the close at all. The forwarder now asks the system for the connection's state right before it sends.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -52,8 +52,8 @@
 	// is answered with 503 instead of 404 or 401: the route or key may have been added
 	// since.
 	maxDenyAge = 4 * time.Second
-	// callerLeft is the outcome of a request whose caller has disconnected.
-	callerLeft = "caller-left"
+	// outcomeCallerLeft is the outcome of a request whose caller has disconnected.
+	outcomeCallerLeft = "caller-left"
 )
 
 // Request holds the fields that Codec.Decode reads from a caller's request.
@@ -181,6 +181,8 @@
 	failure *bufferedAnswer
 	// answered is true once an answer has settled.
 	answered atomic.Bool
+	// left is true once the caller's connection was found to be closed.
+	left atomic.Bool
 	// reserved is true while a repeat has been taken from the retry budget but not used.
 	reserved atomic.Bool
 	// reservedBytes is the memory taken from Forwarder.Memory. The first memoryStep of
@@ -207,7 +209,7 @@
 	if x.accept() {
 		x.run()
 	}
-	if x.trace.reason == callerLeft {
+	if x.trace.reason == outcomeCallerLeft {
 		// A caller that has closed its connection for writing alone still reads, and net/http
 		// would answer 200.
 		panic(http.ErrAbortHandler)
--- a/io/crforward/left_test.go
+++ b/io/crforward/left_test.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"sync"
+	"sync/atomic"
 
 	"testing"
 	"time"
@@ -72,7 +73,7 @@
 		t.Fatal(err)
 	}
 	gate := &gatedListener{Listener: listener}
-	server := &http.Server{Handler: f}
+	server := &http.Server{Handler: f, ConnContext: crforward.ConnContext}
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	defer server.Close()
@@ -114,3 +115,47 @@
 		}
 	})
 }
+
+// TestRequestOfCallerThatLeftIsNotSent reads requests whose callers have closed their
+// connections before, as an instance does that has fallen behind.
+func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
+	const callers = 50
+	var arrived atomic.Int64
+	counted := func(w http.ResponseWriter, q *http.Request) {
+		arrived.Add(1)
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = io.WriteString(w, "ok")
+	}
+	for _, c := range []struct{ name, method, body, next string }{
+		{"without a body", "GET", "", ""},
+		{"with a body", "POST", "x", ""},
+		{"with another request after it", "POST", "x", "GET / HTTP/1.1\r\n"},
+	} {
+		for _, leaves := range []bool{false, true} {
+			arrived.Store(0)
+			runSockets(t, counted, func(f *crforward.Forwarder, gate *gatedListener) {
+				request := fmt.Sprintf("%s /book/ HTTP/1.1\r\nHost: desk.example\r\nId: q\r\nKey: k\r\nContent-Length: %d\r\n\r\n%s%s",
+					c.method, len(c.body), c.body, c.next)
+				gate.Lock()
+				wanted := int64(callers)
+				for range callers {
+					conn := gate.dial(t)
+					defer conn.Close()
+					fmt.Fprint(conn, request)
+					if leaves {
+						conn.Close()
+						wanted = 0
+					}
+				}
+				gate.Unlock()
+				for begin := time.Now(); time.Since(begin) < 5*time.Second && arrived.Load() < wanted; {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(100 * time.Millisecond)
+				if got := arrived.Load(); got != wanted {
+					t.Errorf("%s, callers leave: %t: %d of %d requests were sent to an endpoint, want %d", c.name, leaves, got, callers, wanted)
+				}
+			})
+		}
+	}
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -144,8 +144,8 @@
 // answerFailure answers a request that was sent at least once without success.
 func (x *exchange) answerFailure(ctx context.Context, retryAfter time.Duration) {
 	switch {
-	case x.incoming.Context().Err() != nil:
-		x.trace.recordEnd(0, callerLeft, nil)
+	case x.callerLeft():
+		x.trace.recordEnd(0, outcomeCallerLeft, nil)
 	case x.failure != nil:
 		x.writeAnswer(x.failure)
 	case !x.trace.mayHaveRun:
@@ -264,7 +264,7 @@
 		Echoed: func(status int, h http.Header, first bool) bool {
 			return x.Codec.MatchesRequest(status, h, x.request.ID, first)
 		},
-		Allowed: func() bool { return g.Valid(time.Now()) && x.keyValid() },
+		Allowed: func() bool { return !x.callerLeft() && g.Valid(time.Now()) && x.keyValid() },
 	})
 	var failure *crhop.Error
 	if errors.As(err, &failure) && !failure.Sent {
@@ -326,9 +326,9 @@
 // caller has disconnected, the verdict is done and nothing is held against the endpoint.
 func (x *exchange) classifyFailure(ctx context.Context, g *crgrant.Grant, err error) result {
 	x.trace.lastErr = err
-	if x.incoming.Context().Err() != nil {
+	if x.callerLeft() {
 		g.Drop(time.Now())
-		x.trace.recordEnd(0, callerLeft, nil)
+		x.trace.recordEnd(0, outcomeCallerLeft, nil)
 		return result{verdict: done}
 	}
 	var failure *crhop.Error
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -54,13 +54,13 @@
 			x.trace.recordEnd(answer.Status, "answered", nil)
 			return result{verdict: done}
 		}
-		if s.writeErr != nil || x.incoming.Context().Err() != nil {
+		if s.writeErr != nil || x.callerLeft() {
 			g.Drop(time.Now())
 			if next != nil {
 				next.answer.Close()
 				next.grant.Drop(time.Now())
 			}
-			x.abort(callerLeft, s.writeErr)
+			x.abort(outcomeCallerLeft, s.writeErr)
 		}
 		x.trace.lastErr = err
 		x.reportCrash(g, err)
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -307,6 +307,7 @@
 			ErrorLog:          zap.NewStdLog(r.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 		}
 		if l.name == "front" {
+			server.ConnContext = crforward.ConnContext
 			r.front = server
 		}
 		servers = append(servers, server)
