Wait for the end of an answer that a slow caller holds up

At the end of a planned stop, connections were closed 100 ms after the last handler had returned. net/http writes the last bytes of an answer after that, and to a caller that reads slowly they may wait: its connection was closed inside the answer (LOST). The stop now counts the connections that carry a request, which net/http reports, and not the handlers.

TestAnswerToSlowCallerIsWrittenAsServerStops: counted by handlers, 1 MiB and 1,000 bytes break off with "unexpected EOF"; counted by connections they are whole. TestRequestReadAsServerStopsIsAnswered holds as before.

--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -85,10 +85,12 @@
 	state     *crgrant.State
 	forwarder *crforward.Forwarder
 	front     *http.Server
-	hop       *crhop.Client
-	link      *crlink.Link
-	peers     *http.Client
-	closing   atomic.Bool
+	// frontConns are the connections of front that carry a request.
+	frontConns activeConns
+	hop        *crhop.Client
+	link       *crlink.Link
+	peers      *http.Client
+	closing    atomic.Bool
 	// stopAt is when the process ends; nil before it turns away what lasts longer.
 	stopAt   atomic.Pointer[time.Time]
 	leaving  atomic.Bool
@@ -129,7 +131,7 @@
 	case <-r.stop:
 		stopCtx, stopCancel := context.WithDeadline(ctx, r.leave(ctx))
 		if r.front != nil {
-			stopServing(stopCtx, r.front, r.Metrics.InFlight.Value)
+			stopServing(stopCtx, r.front, r.frontConns.count)
 		}
 		stopCancel()
 	}
@@ -307,7 +309,7 @@
 			ErrorLog:          zap.NewStdLog(r.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 		}
 		if l.name == "front" {
-			server.ConnContext = crforward.ConnContext
+			server.ConnContext, server.ConnState = crforward.ConnContext, r.frontConns.track
 			r.front = server
 		}
 		servers = append(servers, server)
--- a/io/crrouter/stop_test.go
+++ b/io/crrouter/stop_test.go
@@ -56,7 +56,7 @@
 				time.Sleep(time.Until(stop))
 				ctx, cancel := context.WithDeadline(t.Context(), stop.Add(time.Second))
 				defer cancel()
-				stopServing(ctx, server, inFlight.Load)
+				stopServing(ctx, server, func() int { return int(inFlight.Load()) })
 			})
 			time.Sleep(time.Until(stop) + offset)
 			if got := post(); got != "whole" && handled > 1 {
@@ -88,7 +88,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 7*time.Second)
 		defer cancel()
 		begin := time.Now()
-		stopServing(ctx, server, func() int64 { return 0 })
+		stopServing(ctx, server, func() int { return 0 })
 		if took := time.Since(begin); took > time.Second {
 			t.Errorf("the stop took %s", took)
 		}
