Let a long answer that has begun go on until its caller's deadline

One that turns out to be long only while it is buffered (no length, or no memory) still ends with the margin.

TestLongAnswerIsNotCutBeforeItsDeadline: 200,000 of 400,000 bytes arrive without the change, all with it, on both kinds of route.

--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -235,7 +235,8 @@
 
 // send makes one attempt at the endpoint of a grant. While it lasts, and afterwards if the
 // request may have been sent, the attempt counts as sent. The context bounds the attempt until
-// a stream begins, which may go on for the lifetime of the request.
+// an answer begins that is passed on as it arrives, which may go on for the lifetime of the
+// request.
 func (x *exchange) send(ctx context.Context, g *crgrant.Grant, lastEvent string) (*crhop.Answer, error) {
 	header := x.request.Header.Clone()
 	attempt := Attempt{
@@ -286,11 +287,8 @@
 }
 
 // attemptContext returns the context of an attempt, and the function to call with its answer
-// or error. The context ends with ctx unless the answer is a stream.
+// or error. The context ends with ctx unless the answer is passed on as it arrives.
 func (x *exchange) attemptContext(ctx context.Context) (context.Context, func(*crhop.Answer, error)) {
-	if x.route.Kind != crroute.Stream {
-		return ctx, func(*crhop.Answer, error) {}
-	}
 	attemptCtx, cancel := context.WithCancelCause(x.lifetime)
 	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
 	return attemptCtx, func(answer *crhop.Answer, err error) {
@@ -298,12 +296,24 @@
 		case err != nil:
 			stop()
 			cancel(err)
-		case answer.Status < http.StatusMultipleChoices:
+		case x.passedOn(answer):
 			stop()
 		}
 	}
 }
 
+// passedOn reports whether an answer is passed on as it arrives, so that no error can take its
+// place.
+func (x *exchange) passedOn(answer *crhop.Answer) bool {
+	switch {
+	case x.Codec.NotRun(answer.Status, answer.Header):
+		return false
+	case x.route.Kind == crroute.Stream && answer.Status < http.StatusMultipleChoices:
+		return true
+	}
+	return answer.Length > maxBufferedBody && answer.Status < 500
+}
+
 // applyEndpointHints applies what the header of an answer says about its endpoint: that
 // it is about to stop, or wants no requests for a time.
 func (x *exchange) applyEndpointHints(g *crgrant.Grant, answer *crhop.Answer) {
@@ -355,7 +365,7 @@
 
 // handlePlain handles an answer that isn't an event stream.
 func (x *exchange) handlePlain(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
-	if answer.Length > maxBufferedBody && answer.Status < 500 {
+	if x.passedOn(answer) {
 		return x.copyThrough(ctx, g, answer, nil)
 	}
 	body, more, err := x.readBuffered(answer)
