Don't hold this process's own shortage against endpoints

A process without free descriptors, ports or memory couldn't dial, counted each endpoint as unreachable and ejected it for one to eight seconds, so that sound endpoints stayed unused after the shortage. Such a failure, and any other in which nothing was sent, now says nothing about the endpoint.

--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -195,11 +195,11 @@
 	g, answer := answered.grant, answered.answer
 	if err != nil {
 		x.reportCrash(g, err)
-		return x.classifyFailure(ctx, g, err)
+		return x.classifyFailure(g, err)
 	}
 	defer answer.Close()
 	if x.spurious(answer) {
-		return x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: errSpurious})
+		return x.classifyFailure(g, &crhop.Error{Sent: true, Cause: errSpurious})
 	}
 	if x.Codec.NotRun(answer.Status, answer.Header) {
 		// Reading the answer to its end lets the connection be reused.
@@ -212,7 +212,7 @@
 	if answer.Status < 300 && x.route.Kind == crroute.Stream {
 		return x.handleStream(ctx, g, answer)
 	}
-	return x.handlePlain(ctx, g, answer)
+	return x.handlePlain(g, answer)
 }
 
 // errSpurious means that a successful answer doesn't show that the endpoint made it.
@@ -334,7 +334,7 @@
 
 // classifyFailure reports a failed attempt to the grant and returns the verdict. If the
 // caller has disconnected, the verdict is done and nothing is held against the endpoint.
-func (x *exchange) classifyFailure(ctx context.Context, g *crgrant.Grant, err error) result {
+func (x *exchange) classifyFailure(g *crgrant.Grant, err error) result {
 	x.trace.lastErr = err
 	if x.callerLeft() {
 		g.Drop(time.Now())
@@ -348,7 +348,7 @@
 	switch {
 	case failure.Unreachable:
 		x.endGrant(g, crhealth.Unreachable)
-	case errors.Is(err, crhop.ErrWithdrawn), ctx.Err() != nil && !failure.Sent:
+	case !failure.Sent:
 		g.Drop(time.Now())
 	default:
 		x.endGrant(g, crhealth.Broken)
@@ -364,9 +364,9 @@
 }
 
 // handlePlain handles an answer that isn't an event stream.
-func (x *exchange) handlePlain(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
+func (x *exchange) handlePlain(g *crgrant.Grant, answer *crhop.Answer) result {
 	if x.passedOn(answer) {
-		return x.copyThrough(ctx, g, answer, nil)
+		return x.copyThrough(g, answer, nil)
 	}
 	body, more, err := x.readBuffered(answer)
 	if err == nil && more && answer.Status >= 500 {
@@ -374,10 +374,10 @@
 	}
 	if err != nil {
 		x.reportCrash(g, err)
-		return x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: err})
+		return x.classifyFailure(g, &crhop.Error{Sent: true, Cause: err})
 	}
 	if more {
-		return x.copyThrough(ctx, g, answer, body)
+		return x.copyThrough(g, answer, body)
 	}
 	buffered := &bufferedAnswer{answer.Status, answer.Header, body}
 	if answer.Status >= 500 {
@@ -439,7 +439,7 @@
 
 // copyThrough passes on an answer that is too long to buffer. It writes begin, the bytes
 // that were read already, and then copies the rest as it arrives.
-func (x *exchange) copyThrough(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer, begin []byte) result {
+func (x *exchange) copyThrough(g *crgrant.Grant, answer *crhop.Answer, begin []byte) result {
 	copyHeader(x.writer.Header(), answer.Header)
 	x.writer.WriteHeader(answer.Status)
 	_, err := x.writer.Write(begin)
@@ -447,7 +447,7 @@
 		err = copyRest(x.writer, answer, int64(len(begin)))
 	}
 	if err != nil {
-		x.classifyFailure(ctx, g, err)
+		x.classifyFailure(g, err)
 		x.abort("answer-cut", err)
 	}
 	if answer.Status < http.StatusMultipleChoices {
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -64,7 +64,7 @@
 			m.abandon(nil)
 			if next := m.await(); next != nil {
 				x.reportCrash(g, s.err)
-				x.classifyFailure(ctx, g, s.err)
+				x.classifyFailure(g, s.err)
 				return *next, nil
 			}
 			return attemptAnswer{grant: g}, s.err
@@ -79,7 +79,7 @@
 			if s := <-first; s.answer != nil {
 				s.answer.Close()
 			}
-			x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: errStalled})
+			x.classifyFailure(g, &crhop.Error{Sent: true, Cause: errStalled})
 			return *next, nil
 		}
 	}
@@ -228,7 +228,7 @@
 				return nil
 			}
 			x.reportCrash(g, err)
-			if x.classifyFailure(ctx, g, err).verdict == unknown {
+			if x.classifyFailure(g, err).verdict == unknown {
 				x.trace.mayHaveRun = true
 			}
 			if !x.keyValid() {
@@ -238,13 +238,13 @@
 		}
 		if x.spurious(answer) {
 			answer.Close()
-			x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: errSpurious})
+			x.classifyFailure(g, &crhop.Error{Sent: true, Cause: errSpurious})
 			x.trace.mayHaveRun = true
 			continue
 		}
 		notRun := x.Codec.NotRun(answer.Status, answer.Header)
 		if unanswered && !notRun && answer.Status >= 500 {
-			x.keepFailure(ctx, g, answer)
+			x.keepFailure(g, answer)
 			continue
 		}
 		if notRun || !unanswered && answer.Status >= 300 {
@@ -261,7 +261,7 @@
 					return nil
 				}
 				x.reportCrash(g, err)
-				x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: err})
+				x.classifyFailure(g, &crhop.Error{Sent: true, Cause: err})
 				continue
 			}
 		}
@@ -291,7 +291,7 @@
 
 // keepFailure reads an answer with a status of 500 or above, which the caller gets if no
 // other attempt is answered.
-func (x *exchange) keepFailure(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) {
+func (x *exchange) keepFailure(g *crgrant.Grant, answer *crhop.Answer) {
 	defer answer.Close()
 	x.trace.mayHaveRun = true
 	body, more, err := x.readBuffered(answer)
@@ -299,7 +299,7 @@
 		err = errTooLong
 	}
 	if err != nil {
-		x.classifyFailure(ctx, g, &crhop.Error{Sent: true, Cause: err})
+		x.classifyFailure(g, &crhop.Error{Sent: true, Cause: err})
 		return
 	}
 	x.failure = &bufferedAnswer{answer.Status, answer.Header, body}
--- a/io/crhop/client.go
+++ b/io/crhop/client.go
@@ -101,7 +101,8 @@
 	// Sent is true if any part of the request may have been written to the connection,
 	// so that the endpoint may have received it.
 	Sent bool
-	// Unreachable is true if no connection could be opened.
+	// Unreachable is true if no connection could be opened and this process had the means to
+	// open one.
 	Unreachable bool
 	Cause       error
 }
@@ -150,7 +151,7 @@
 	if k == nil {
 		var err error
 		if k, err = c.open(ctx, e.Address); err != nil {
-			return nil, &Error{Unreachable: ctx.Err() == nil, Cause: err}
+			return nil, &Error{Unreachable: ctx.Err() == nil && !localShortage(err), Cause: err}
 		}
 	}
 	return c.exchange(ctx, e.Key, k, r)
@@ -254,6 +255,17 @@
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() { c.Prune(time.Now(), func(crledger.Key) bool { return false }) }
 
+// localShortage reports whether a connection failed because this process or its machine lacks
+// descriptors, ports or memory, which says nothing about the endpoint.
+func localShortage(err error) bool {
+	for _, cause := range []error{unix.EMFILE, unix.ENFILE, unix.EADDRNOTAVAIL, unix.ENOBUFS, unix.ENOMEM} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 func newConn(c net.Conn) *conn {
 	k := &conn{Conn: c, headBytesLeft: -1}
 	k.reader = bufio.NewReaderSize(k, readBufferBytes)
