Keep a stream's successor until the first attempt's body has begun

If the first attempt then broke off, its attempts were used up and the caller got 502 instead of the successor's answer. The first attempt of a stream, too, now counts as answered only once its body has begun; its header was never passed on before that.

An idempotent request whose first answer breaks off after its header still loses its successor.

--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -28,10 +28,11 @@
 	answer *crhop.Answer
 }
 
-// sendWatched sends a request and returns the first answer. While the endpoint is silent,
-// a successor may be sent to another endpoint; the attempt that is answered later is
-// canceled. The returned grant is that of the answer, or the given one if there is an
-// error. The successor is sent after the limit at the latest; zero means no limit.
+// sendWatched sends a request and returns the first answer, for a stream once its body has
+// begun. While the endpoint is silent, a successor may be sent to another endpoint; the
+// attempt that is answered later is canceled. The returned grant is that of the answer, or
+// the given one if there is an error. The successor is sent after the limit at the latest;
+// zero means no limit.
 func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string, limit time.Duration) (attemptAnswer, error) {
 	type sent struct {
 		answer *crhop.Answer
@@ -41,6 +42,12 @@
 	first := make(chan sent, 1)
 	go func() {
 		answer, err := x.send(sendCtx, g, lastEvent)
+		if err == nil && x.route.Kind == crroute.Stream && x.passedOn(answer) && !x.spurious(answer) {
+			if bodyErr := awaitBody(sendCtx, answer); bodyErr != nil {
+				answer.Close()
+				answer, err = nil, &crhop.Error{Sent: true, Cause: bodyErr}
+			}
+		}
 		first <- sent{answer, err}
 	}()
 	m := x.newStallMonitor(g)
