Report crashes under answers too long to buffer

Requests whose answers announce more than 256 KiB went on to crash one endpoint each, 12 of 12 in the test, and no quarantine came: such answers are passed on at once, and the way that does so didn't report how they broke off. It does now, unless the caller has left.

Evidence: TestWaysToCrash, 12 crashes before and at most 4 after.

--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -121,3 +121,54 @@
 		}
 	})
 }
+
+// TestWaysToCrash lets engines crash after different beginnings of an answer. Each way must
+// lead to a quarantine.
+func TestWaysToCrash(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		// head is what follows the answer's id.
+		head  string
+		parts int
+	}{
+		{"inside a chunked answer", "/read/", "Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\n", 1},
+		{"after the first event of a chunked stream", "/reply/", "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: 1\n\n\r\n", 1},
+		{"a long plain answer", "/read/", "Content-Length: 300000\r\n\r\nxxx", 1},
+		{"a long plain answer that isn't repeated", "/book/", "Content-Length: 300000\r\n\r\nxxx", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			crashes := 0
+			runEngines(t, 16, func(r *fixture, i int, w http.ResponseWriter, q *http.Request) {
+				if !strings.Contains(q.Header.Get("Parts"), "deadly") {
+					_, _ = io.WriteString(w, eventText(1, 2))
+					return
+				}
+				crashes++
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%s", q.Header.Get("Id"), c.head)
+				time.Sleep(20 * time.Millisecond)
+				r.servers[i].Close()
+				conn.Close()
+			}, func(r *fixture) {
+				for i := range 12 {
+					if got, _ := r.send(r.t.Context(), c.path, "", "Id", fmt.Sprint("sound-", i), "Parts", fmt.Sprintf("system own-%d", i)); got.Status != http.StatusOK {
+						t.Errorf("a sound request got %v", got)
+					}
+					var own strings.Builder
+					for k := range c.parts {
+						fmt.Fprintf(&own, "own-%d-%d ", i, k)
+					}
+					r.send(r.t.Context(), c.path, "", "Id", fmt.Sprint("deadly-", i), "Parts", "system "+own.String()+"deadly last")
+					time.Sleep(400 * time.Millisecond)
+				}
+			})
+			if crashes > maxCrashes {
+				t.Errorf("%d crashes, want %d at most", crashes, maxCrashes)
+			}
+		})
+	}
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -447,6 +447,9 @@
 		err = copyRest(x.writer, answer, int64(len(begin)))
 	}
 	if err != nil {
+		if !x.callerLeft() {
+			x.reportCrash(g, err)
+		}
 		x.classifyFailure(g, err)
 		x.abort("answer-cut", err)
 	}
