Look for crashes behind answers without a length or chunks

After the end of one that hasn't settled the endpoint is now probed, as after an answer that broke off.

--- a/io/crforward/crash.go
+++ b/io/crforward/crash.go
@@ -71,6 +71,16 @@
 	}()
 }
 
+// recordAnswerEnd records what the end of a successful answer shows. A crash of the endpoint may
+// have ended one that is unframed.
+func (x *exchange) recordAnswerEnd(g *crgrant.Grant, answer *crhop.Answer) {
+	if answer.Framed() {
+		x.markAnswered(g)
+		return
+	}
+	x.reportCrash(g, io.ErrUnexpectedEOF)
+}
+
 // refusesConnections probes an endpoint and reports whether it refuses connections. The
 // requests that wait at one endpoint share the probes.
 func (f *Forwarder) refusesConnections(e crhop.Endpoint) bool {
--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -133,6 +133,10 @@
 	}{
 		{"inside a chunked answer", "/read/", "Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\n", 1},
 		{"after the first event of a chunked stream", "/reply/", "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: 1\n\n\r\n", 1},
+		{"an unframed plain answer", "/read/", "Connection: close\r\n\r\nxx", 1},
+		{"an empty unframed plain answer", "/book/", "Connection: close\r\n\r\n", 1},
+		{"after an event of an unframed stream", "/draft/", "Connection: close\r\n\r\nid: 1\ndata: 1\n\n", 1},
+		{"before the first event of an unframed stream", "/reply/", "Connection: close\r\n\r\n", 1},
 		{"a long plain answer", "/read/", "Content-Length: 300000\r\n\r\nxxx", 1},
 		{"a long plain answer that isn't repeated", "/book/", "Content-Length: 300000\r\n\r\nxxx", 1},
 	} {
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -384,9 +384,9 @@
 		x.endGrant(g, crhealth.Failed)
 		return result{verdict: failed, answer: buffered}
 	}
-	if answer.Status < http.StatusMultipleChoices && answer.Framed() {
+	if answer.Status < http.StatusMultipleChoices {
 		// The engine need not have read the prompt for another answer.
-		x.markAnswered(g)
+		x.recordAnswerEnd(g, answer)
 	}
 	x.endGrant(g, crhealth.Good)
 	x.writeAnswer(buffered)
@@ -453,8 +453,12 @@
 		x.classifyFailure(g, err)
 		x.abort("answer-cut", err)
 	}
-	if answer.Status < http.StatusMultipleChoices {
+	switch {
+	case answer.Status >= http.StatusMultipleChoices:
+	case len(begin) >= maxBufferedBody:
 		x.markAnswered(g)
+	default:
+		x.recordAnswerEnd(g, answer)
 	}
 	x.endGrant(g, crhealth.Good)
 	x.trace.recordEnd(answer.Status, "answered", nil)
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -192,8 +192,8 @@
 				err := errors.Join(io.ErrUnexpectedEOF, s.flush(answer))
 				return monitor.await(), err
 			case c.err == io.EOF:
-				if !firstEvent.IsZero() && answer.Framed() {
-					s.markAnswered(g)
+				if !firstEvent.IsZero() {
+					s.recordAnswerEnd(g, answer)
 				}
 				// This also writes the header of an answer without events.
 				return nil, s.write(answer, append(s.pending, s.splitter.Rest()...))
