Let answers without a length or chunks clear their parts

An endpoint that takes connections 0.3 s after the end of such an answer has borne the prompt, so its parts are cleared now. Probes that another request began earlier don't show that.

--- a/io/crforward/crash.go
+++ b/io/crforward/crash.go
@@ -59,9 +59,24 @@
 	if len(x.parts) == 0 || x.answered.Load() || !closedByEndpoint(cause) {
 		return
 	}
+	x.probeAfterEnd(g, false)
+}
+
+// probeAfterEnd records a crash if the endpoint refuses connections, and that the prompt is
+// answered if wasAnswer is true and the endpoint accepts them. It returns at once.
+func (x *exchange) probeAfterEnd(g *crgrant.Grant, wasAnswer bool) {
 	f, request, parts := x.Forwarder, x.request, x.parts
 	go func() {
-		if !f.refusesConnections(crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}) {
+		e, began := crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, time.Now()
+		err := f.probeCrash(e)
+		if err == nil && wasAnswer && time.Since(began) < (crashProbes-1)*crashProbeInterval {
+			// Another request's probes, which may have begun before a crash.
+			err = f.probeCrash(e)
+		}
+		if err == nil && wasAnswer {
+			g.MarkAnswered(time.Now())
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return
 		}
 		g.RecordCrash(time.Now(), crhash.Of(request.ID))
@@ -72,32 +87,38 @@
 }
 
 // recordAnswerEnd records what the end of a successful answer shows. A crash of the endpoint may
-// have ended one that is unframed.
+// have ended one that is unframed, unless the endpoint still accepts connections.
 func (x *exchange) recordAnswerEnd(g *crgrant.Grant, answer *crhop.Answer) {
 	if answer.Framed() {
 		x.markAnswered(g)
 		return
 	}
-	x.reportCrash(g, io.ErrUnexpectedEOF)
+	if len(x.parts) > 0 && !x.answered.Load() {
+		x.probeAfterEnd(g, true)
+	}
 }
 
-// refusesConnections probes an endpoint and reports whether it refuses connections. The
-// requests that wait at one endpoint share the probes.
-func (f *Forwarder) refusesConnections(e crhop.Endpoint) bool {
-	refused, _, _ := f.crashProbes.Do(strconv.FormatUint(uint64(e.Key), 16), func() (any, error) {
+// probeCrash probes an endpoint that may have crashed. It returns nil if each probe opens a
+// connection, and ECONNREFUSED if one is refused. The requests that wait at one endpoint share
+// the probes.
+func (f *Forwarder) probeCrash(e crhop.Endpoint) error {
+	_, err, _ := f.crashProbes.Do(strconv.FormatUint(uint64(e.Key), 16), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
+		var failed error
 		for i := range crashProbes {
 			if i > 0 && crbackoff.Sleep(ctx, crashProbeInterval) != nil {
-				break
+				return nil, ctx.Err()
 			}
-			if errors.Is(f.Client.Probe(ctx, e), syscall.ECONNREFUSED) {
-				return true, nil
+			err := f.Client.Probe(ctx, e)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				return nil, err
 			}
+			failed = errors.Join(failed, err)
 		}
-		return false, nil
+		return nil, failed
 	})
-	return refused.(bool)
+	return err
 }
 
 // closedByEndpoint reports whether an attempt failed because the endpoint closed the
--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -176,3 +176,40 @@
 		})
 	}
 }
+
+// TestUnframedAnswersClearParts lets engines end one after the other beside sound prompts
+// whose answers end with their connection. Engines that still run after such an answer have
+// borne its prompt.
+func TestUnframedAnswersClearParts(t *testing.T) {
+	for _, path := range []string{"/read/", "/draft/"} {
+		t.Run(path, func(t *testing.T) {
+			ending, refused := false, 0
+			runEngines(t, 16, func(r *fixture, i int, w http.ResponseWriter, q *http.Request) {
+				time.Sleep(50 * time.Millisecond)
+				if strings.HasPrefix(q.Header.Get("Id"), "unlucky") && ending {
+					ending = false
+					r.servers[i].Close()
+					return
+				}
+				w.Header().Set("Connection", "close")
+				w.Header().Set("Transfer-Encoding", "identity")
+				_, _ = io.WriteString(w, eventText(1, 2))
+			}, func(r *fixture) {
+				for i := range 40 {
+					id := "sound"
+					if ending = i%5 == 4 && i < 25; ending {
+						id = "unlucky"
+					}
+					got, _ := r.send(r.t.Context(), path, "", "Id", fmt.Sprint(id, i), "Parts", fmt.Sprintf("system own-%d", i))
+					if got.Body == "quarantined-prompt\n" {
+						refused++
+					}
+					time.Sleep(400 * time.Millisecond)
+				}
+			})
+			if refused > 0 {
+				t.Errorf("%d of 40 sound requests were refused", refused)
+			}
+		})
+	}
+}
