Report a crash before the request's successor is awaited

The crash of an endpoint that had been silent was looked for only once the request's successor was answered or had failed, seconds later, when the endpoint may accept connections again: no crash was known 1.3 s after it in the test. Attempts report it themselves now, as soon as they break off.

Evidence: TestCrashIsReportedBesideItsSuccessor fails without the change in all three cases.

--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -213,3 +213,40 @@
 		})
 	}
 }
+
+// TestCrashIsReportedBesideItsSuccessor checks that the crash of a silent endpoint is reported
+// while the request's successor waits, by whose answer the endpoint may be back.
+func TestCrashIsReportedBesideItsSuccessor(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		head       bool
+	}{{"plain", "/read/", false}, {"stream", "/draft/", false}, {"stream with a head", "/draft/", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			arrived := 0
+			runEngines(t, 2, func(r *fixture, i int, w http.ResponseWriter, q *http.Request) {
+				if arrived++; arrived > 1 {
+					time.Sleep(5 * time.Second)
+					_, _ = io.WriteString(w, eventText(1, 2))
+					return
+				}
+				if c.head {
+					_ = http.NewResponseController(w).Flush()
+				}
+				time.Sleep(3200 * time.Millisecond)
+				r.servers[i].Close()
+			}, func(r *fixture) {
+				go func() {
+					time.Sleep(4500 * time.Millisecond)
+					if n := len(r.state.Contexts(time.Now()).GetCrashEvidence().GetCrashes()); n != 1 {
+						t.Errorf("%d crashes are known, want 1", n)
+					}
+				}()
+				r.send(r.t.Context(), c.path, "", "Parts", "system own")
+				time.Sleep(5 * time.Second)
+				if arrived != 2 {
+					t.Errorf("%d arrivals, want a successor", arrived)
+				}
+			})
+		})
+	}
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -194,7 +194,6 @@
 	answered, err := x.sendWatched(ctx, g, lastEvent, x.waitLimit())
 	g, answer := answered.grant, answered.answer
 	if err != nil {
-		x.reportCrash(g, err)
 		return x.classifyFailure(g, err)
 	}
 	defer answer.Close()
@@ -272,10 +271,12 @@
 		x.sent.Add(-1)
 	}
 	settle(answer, err)
-	if err == nil {
-		x.applyEndpointHints(g, answer)
+	if err != nil {
+		x.reportCrash(g, err)
+		return answer, err
 	}
-	return answer, err
+	x.applyEndpointHints(g, answer)
+	return answer, nil
 }
 
 // attemptEnd returns when an attempt must end.
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -45,6 +45,7 @@
 		if err == nil && x.route.Kind == crroute.Stream && x.passedOn(answer) && !x.spurious(answer) {
 			if bodyErr := awaitBody(sendCtx, answer); bodyErr != nil {
 				answer.Close()
+				x.reportCrash(g, bodyErr)
 				answer, err = nil, &crhop.Error{Sent: true, Cause: bodyErr}
 			}
 		}
@@ -70,7 +71,6 @@
 			}
 			m.abandon(nil)
 			if next := m.await(); next != nil {
-				x.reportCrash(g, s.err)
 				x.classifyFailure(g, s.err)
 				return *next, nil
 			}
@@ -234,7 +234,6 @@
 				g.Drop(time.Now())
 				return nil
 			}
-			x.reportCrash(g, err)
 			if x.classifyFailure(g, err).verdict == unknown {
 				x.trace.mayHaveRun = true
 			}
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -63,7 +63,6 @@
 			x.abort(outcomeCallerLeft, s.writeErr)
 		}
 		x.trace.lastErr = err
-		x.reportCrash(g, err)
 		if s.started {
 			ctx = x.lifetime
 		}
@@ -189,6 +188,7 @@
 				err = errors.Join(err, s.flush(answer))
 				return monitor.await(), err
 			case c.err == io.EOF && !answer.Framed() && s.insideEvent(!firstEvent.IsZero()):
+				s.reportCrash(g, io.ErrUnexpectedEOF)
 				err := errors.Join(io.ErrUnexpectedEOF, s.flush(answer))
 				return monitor.await(), err
 			case c.err == io.EOF:
@@ -198,6 +198,7 @@
 				// This also writes the header of an answer without events.
 				return nil, s.write(answer, append(s.pending, s.splitter.Rest()...))
 			case c.err != nil:
+				s.reportCrash(g, c.err)
 				err = errors.Join(c.err, s.flush(answer))
 				return monitor.await(), err
 			}
