Look at up to 256 parts of a prompt

A part that crashes endpoints was looked for among the first 64 of a prompt. Long chats may have more before it: 16 of 16 endpoints crashed in the test, with 200 parts before the deadly one. A crash keeps 256 parts already.

Evidence: TestWaysToCrash.

--- a/io/crforward/crash.go
+++ b/io/crforward/crash.go
@@ -29,7 +29,7 @@
 	crashProbes        = 3
 	crashProbeInterval = 150 * time.Millisecond
 	// maxQuarantineParts bounds the parts of a prompt that are looked at.
-	maxQuarantineParts = 64
+	maxQuarantineParts = 256
 )
 
 // quarantineParts returns the parts of a prompt that other prompts may have, too. The last
--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -131,6 +131,7 @@
 		head  string
 		parts int
 	}{
+		{"before an answer to a prompt of many parts", "/draft/", "", 200},
 		{"inside a chunked answer", "/read/", "Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\n", 1},
 		{"after the first event of a chunked stream", "/reply/", "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: 1\n\n\r\n", 1},
 		{"an unframed plain answer", "/read/", "Connection: close\r\n\r\nxx", 1},
