Suspect parts of long ago while no endpoint answers

A part that had ever been answered wasn't quarantined while its service didn't answer. Such a part is a suspect now unless it was answered within a minute before the service's last answer, as what all prompts share is in an outage. Parts answered within that minute are as before.

TestFewServersWithPartAnsweredBefore and a case of TestQuarantine fail without it.

--- a/core/crgrant/deadly_test.go
+++ b/core/crgrant/deadly_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"crocusrack/core/crquarantine"
 	pb "crocusrack/schema/crrouter"
 )
 
@@ -166,3 +167,25 @@
 		}
 	}
 }
+
+// TestFewServersWithPartAnsweredBefore has so few servers that all are down at times, and a
+// part that was answered two minutes before it crashes them.
+func TestFewServersWithPartAnsweredBefore(t *testing.T) {
+	for _, servers := range []int{2, 3} {
+		for seed := range uint64(8) {
+			f := newCrashing(t, 3, 5000+seed)
+			f.servers, f.stale, f.longest = f.servers[:servers], true, 4*time.Second
+			part := uint64(crquarantine.PartOf("llm", "deadly"))
+			for _, name := range f.names {
+				f.nodes[name].ApplyContexts(f.now, &pb.Contexts{CrashEvidence: &pb.CrashEvidence{Answers: []*pb.AnsweredPart{{Part: part, AgeMs: 120_000}}}})
+			}
+			f.arrive(5, false)
+			f.run(3 * time.Second)
+			f.arrive(10, true)
+			f.run(30 * time.Second)
+			if f.check(); t.Failed() {
+				t.Fatalf("%d servers, seed %d", servers, 5000+seed)
+			}
+		}
+	}
+}
--- a/core/crquarantine/cause.go
+++ b/core/crquarantine/cause.go
@@ -30,7 +30,7 @@
 		if len(c.ends) < minCrashes || best.crashes != nil && c.compare(best) >= 0 || !separate(c.ends) {
 			continue
 		}
-		if service, answered := t.answeredSince(list); !answered && t.wereAnswered(common(list)) {
+		if service, answered := t.answeredSince(list); !answered && t.wereAnswered(service, common(list)) {
 			t.awaited[service] = true
 			continue
 		}
--- a/core/crquarantine/quarantine.go
+++ b/core/crquarantine/quarantine.go
@@ -28,6 +28,9 @@
 	// answerLead is how long before a crash an answer must have begun to say nothing about
 	// it. A part that was harmless may become deadly when endpoints change.
 	answerLead = 2 * time.Second
+	// outageLead is how long before the last answer of its service a part must have been
+	// answered to be involved in crashes only because of an outage.
+	outageLead = time.Minute
 	// blockTime is how long after its last crash a part stays quarantined. The request that
 	// is sent then shows whether the endpoints bear it by now.
 	blockTime = 10 * time.Minute
@@ -320,8 +323,8 @@
 // update drops old evidence and computes the quarantines. It explains as many crashes as
 // possible with each quarantine, and doesn't count a crash twice: prompts that were at an
 // endpoint together with a quarantined one are no suspects of its crash. While no answer of
-// the service begins, parts that were answered before are no suspects either: in an outage
-// those that all prompts have would be.
+// the service begins, parts that were answered shortly before are no suspects either: in an
+// outage those that all prompts have would be.
 func (t *Table) update(now time.Time) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool {
 		return now.Sub(c.At) >= memoryTime || len(c.Parts) == 0
@@ -375,11 +378,13 @@
 	return last.Service, ok && clears(at, last.At)
 }
 
-// wereAnswered reports whether there were answers to prompts with each of the parts.
-func (t *Table) wereAnswered(parts []Part) bool {
+// wereAnswered reports whether there were answers to prompts with each of the parts up to
+// outageLead before the last answer of the service.
+func (t *Table) wereAnswered(service Part, parts []Part) bool {
+	last, _ := t.answered.Get(service)
 	return !slices.ContainsFunc(parts, func(p Part) bool {
-		_, ok := t.answered.Get(p)
-		return !ok
+		at, ok := t.answered.Get(p)
+		return !ok || last.Sub(at) > outageLead
 	})
 }
 
--- a/core/crquarantine/quarantine_test.go
+++ b/core/crquarantine/quarantine_test.go
@@ -97,6 +97,12 @@
 			[]crquarantine.Crash{crash(0, 1, 1, "p"), crash(300, 2, 2, "p"), crash(900, 3, 3, "p")}, []answer{{-3000, []string{"p"}}},
 			nil, []string{"p"}, true,
 		},
+		{
+			"a part that was last answered long before an outage of the service",
+			[]crquarantine.Crash{crash(0, 1, 1, "s", "p"), crash(300, 2, 2, "s", "p"), crash(900, 3, 3, "s", "p")},
+			[]answer{{-90_000, []string{"p"}}, {-3000, []string{"s"}}},
+			[]string{"s p"}, []string{"s"}, true,
+		},
 		{
 			"a part that was never answered in an outage of the service",
 			[]crquarantine.Crash{crash(0, 1, 1, "s", "p"), crash(300, 2, 2, "s", "p"), crash(900, 3, 3, "s", "p")}, []answer{{-3000, []string{"s"}}},
