Survive a SIGHUP that comes before the router has started

Between the registration of the signals and the building of the link, a SIGHUP ended the process: Reload used the link, which was still nil. The link is now made with the first call of any method.

--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -105,7 +105,14 @@
 	r.stopOnce.Do(func() { close(r.stop) })
 }
 
-func (r *Router) init() { r.initOnce.Do(func() { r.stop = make(chan struct{}) }) }
+// init makes what a signal that comes before Run needs.
+func (r *Router) init() {
+	r.initOnce.Do(func() {
+		r.stop = make(chan struct{})
+		r.link = &crlink.Link{}
+		r.link.SetSeeds(r.Settings.Seeds)
+	})
+}
 
 // Run serves until Stop has been carried out or the context ends.
 func (r *Router) Run(ctx context.Context) error {
@@ -187,14 +194,8 @@
 		return fmt.Errorf("peer datagrams: %w", err)
 	}
 	r.peers = Client()
-	r.link = &crlink.Link{
-		State:   r.state,
-		Conn:    packets,
-		HTTP:    r.peers,
-		Log:     r.Log,
-		Adopted: r.adopted,
-	}
-	r.link.SetSeeds(s.Seeds)
+	r.link.State, r.link.Conn, r.link.HTTP, r.link.Log = r.state, packets, r.peers, r.Log
+	r.link.Adopted = r.adopted
 	r.Watcher.State = r.state
 	r.Watcher.Log = r.Log
 	r.Watcher.Changed = r.changed
@@ -217,6 +218,7 @@
 
 // Reload takes over what may change while the daemon runs: the seeds.
 func (r *Router) Reload(s crsettings.Router) {
+	r.init()
 	r.link.SetSeeds(s.Seeds)
 	r.Log.Info("daemon: settings reloaded; seeds are in force, other changes at the next start",
 		zap.Stringers("seeds", s.Seeds))
