Don't hold a lack of this process's memory against endpoints

A stream whose event didn't fit in the memory limit was broken off by this instance and counted as broken by its endpoint; three of them ejected it.

TestLackOfMemoryIsNoFaultOfEndpoints: both endpoints were ejected without the change, none with it. The stream is cut before and after.

--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -66,7 +66,7 @@
 		if s.started {
 			ctx = x.lifetime
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, errNoMemory) {
 			g.Drop(time.Now())
 		} else {
 			x.endGrant(g, crhealth.Broken)
