Pass on a failure that is too long to buffer

An endpoint's failure that didn't fit in the buffer became a 502 of this instance's own, also where the request may not be repeated, and counted as broken. Unless another endpoint may answer instead (an idempotent route), it is now passed on as it arrives.

TestFailureThatDoesNotFitIsPassedOn: 502 with 12 bytes without the change, 500 with all 60,000 with it.

--- a/io/crforward/nomemory_test.go
+++ b/io/crforward/nomemory_test.go
@@ -27,3 +27,22 @@
 		time.Sleep(time.Second)
 	}, long, long)
 }
+
+// TestFailureThatDoesNotFitIsPassedOn sends failures that don't fit in this instance's memory.
+func TestFailureThatDoesNotFitIsPassedOn(t *testing.T) {
+	long := func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, strings.Repeat("x", 60_000))
+	}
+	runFixture(t, func(r *fixture) {
+		r.forwarder.Memory.Limit = 1
+		got, _ := r.send(r.t.Context(), "/book/", "")
+		if got.Status != 500 || len(got.Body) != 60_000 {
+			t.Errorf("status %d, %d bytes", got.Status, len(got.Body))
+		}
+		if n := r.forwarder.Metrics.Ejected.Value(); n > 0 {
+			t.Errorf("%d endpoints were ejected", n)
+		}
+		time.Sleep(time.Second)
+	}, long, long)
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -370,7 +370,8 @@
 		return x.copyThrough(g, answer, nil)
 	}
 	body, more, err := x.readBuffered(answer)
-	if err == nil && more && answer.Status >= 500 {
+	if err == nil && more && answer.Status >= 500 && x.route.Kind == crroute.Idempotent {
+		// Another endpoint may answer instead.
 		err = errTooLong
 	}
 	if err != nil {
@@ -461,7 +462,11 @@
 	default:
 		x.recordAnswerEnd(g, answer)
 	}
-	x.endGrant(g, crhealth.Good)
+	outcome := crhealth.Good
+	if answer.Status >= 500 {
+		outcome = crhealth.Failed
+	}
+	x.endGrant(g, outcome)
 	x.trace.recordEnd(answer.Status, "answered", nil)
 	return result{verdict: done}
 }
