Try a long request elsewhere if none of it was written

A request with a body of more than 4 KiB is written beside the wait for its answer. If the endpoint had closed the kept connection just before, so that not a byte of the request could be written, it counted as sent all the same: a request that may run once only ended with 502. As for short ones, such a request now counts as not sent and goes to another endpoint.

TestNothingWritten fails for 4,097 and 100,000 bytes without the change.

--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -76,7 +76,9 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		return nil, &Error{Sent: true, Cause: err}
+		// The connection is closed, so the write ends.
+		<-a.written
+		return nil, &Error{Sent: !a.nothingWritten(), Cause: err}
 	}
 	a.response = response
 	a.Status, a.Header, a.Length, a.Body = response.StatusCode, response.Header, response.ContentLength, a
