Don't give up an idempotent request for the header of its successor

For all requests that may be repeated a success now counts once its body has begun, from the first endpoint as from its successor.

TestHeaderOfSuccessorDoesNotEndFirstAttempt: 504 and 502 without the change, 200 with it.

--- a/io/crforward/header_first_test.go
+++ b/io/crforward/header_first_test.go
@@ -36,3 +36,27 @@
 		time.Sleep(5 * time.Second)
 	}, either, either)
 }
+
+// TestHeaderOfSuccessorDoesNotEndFirstAttempt checks an idempotent request whose successor
+// sends only a header while the first endpoint is still at work.
+func TestHeaderOfSuccessorDoesNotEndFirstAttempt(t *testing.T) {
+	for _, successor := range []http.HandlerFunc{headerOnly, breaksAfterHeader} {
+		var arrived atomic.Int64
+		either := func(w http.ResponseWriter, q *http.Request) {
+			if arrived.Add(1) > 1 {
+				successor(w, q)
+				return
+			}
+			time.Sleep(600 * time.Millisecond)
+			good(w, q)
+		}
+		runFixture(t, func(r *fixture) {
+			got, _ := r.send(r.t.Context(), "/read/", "")
+			if diff := cmp.Diff(answer{200, "ok", false}, got); diff != "" || r.arrived() != 2 {
+				t.Errorf("arrivals %q (-want +got):\n%s", r.arrivals, diff)
+			}
+			// Wait until the endpoints' handlers have ended.
+			time.Sleep(time.Second)
+		}, either, either)
+	}
+}
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -5,12 +5,12 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crretry"
-	"crocusrack/core/crroute"
 	"crocusrack/io/crhop"
 )
 
@@ -28,8 +28,8 @@
 	answer *crhop.Answer
 }
 
-// sendWatched sends a request and returns the first answer, for a stream once its body has
-// begun. While the endpoint is silent, a successor may be sent to another endpoint; the
+// sendWatched sends a request and returns the first answer, for a success that may be repeated
+// once its body has begun. While the endpoint is silent, a successor may be sent to another endpoint; the
 // attempt that is answered later is canceled. The returned grant is that of the answer, or
 // the given one if there is an error. The successor is sent after the limit at the latest;
 // zero means no limit.
@@ -42,7 +42,7 @@
 	first := make(chan sent, 1)
 	go func() {
 		answer, err := x.send(sendCtx, g, lastEvent)
-		if err == nil && x.route.Kind == crroute.Stream && x.passedOn(answer) && !x.spurious(answer) {
+		if err == nil && x.beginsBody(answer) {
 			if bodyErr := awaitBody(sendCtx, answer); bodyErr != nil {
 				answer.Close()
 				x.reportCrash(g, bodyErr)
@@ -258,7 +258,7 @@
 			x.endGrant(g, crhealth.Refused)
 			continue
 		}
-		if answer.Status < 300 && x.route.Kind == crroute.Stream {
+		if x.beginsBody(answer) {
 			if err := awaitBody(ctx, answer); err != nil {
 				answer.Close()
 				x.trace.mayHaveRun = true
@@ -282,6 +282,13 @@
 	return nil
 }
 
+// beginsBody reports whether an answer only counts as one once its body has begun: a success
+// that another attempt could give as well.
+func (x *exchange) beginsBody(answer *crhop.Answer) bool {
+	return x.route.Repeatable() && answer.Status < http.StatusMultipleChoices &&
+		!x.spurious(answer) && !x.Codec.NotRun(answer.Status, answer.Header)
+}
+
 // awaitBody waits for the first byte of an answer's body, or its end. A header alone doesn't
 // show that the endpoint makes progress. The answer is closed if the context ends first.
 func awaitBody(ctx context.Context, answer *crhop.Answer) error {
