Answer 408 to a caller whose body takes too long

A body that wasn't read after 10 s was answered with 400, which says that the request is wrong (DENIED). It is only late, and hasn't run: 408 lets the caller come back.

TestSlowBody: 400 without the change, 408 with it.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -13,6 +13,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -362,6 +363,10 @@
 	case errors.As(err, &tooLarge):
 		x.fail(http.StatusRequestEntityTooLarge, "body-too-large", err)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.writer.Header().Set("Connection", "close")
+		x.fail(http.StatusRequestTimeout, "body-too-slow", err)
+		return false
 	case err != nil:
 		x.writer.Header().Set("Connection", "close")
 		x.fail(http.StatusBadRequest, "body-incomplete", err)
