Let an instance that hears from nobody inform its own domain only

An instance of a large fleet that heard from no other for a while took the fleet for a small one, in which all report to each other, and the store for its own to read. Held up, they send requests whose callers have left.

Silent instances now count for the size that decides how reports are sent, until they are forgotten, as they do already for the size of a domain. The test fails without the change.

--- a/core/crliveness/roster.go
+++ b/core/crliveness/roster.go
@@ -223,8 +223,10 @@
 	return !e.heard.IsZero() && now.Sub(e.heard) < limit
 }
 
-// Large reports whether the fleet is so large that the domains exchange digests.
-func (r *Roster) Large(now time.Time) bool { return r.Size(now) > smallFleet }
+// Large reports whether the fleet is so large that the domains exchange digests. Silent
+// instances count until they are forgotten. Otherwise an instance that hears from nobody for a
+// while would report to the whole fleet, which would fetch from it what it reads itself.
+func (r *Roster) Large(now time.Time) bool { return r.view(now).heard > smallFleet }
 
 // MustForward reports whether this instance must forward to its failure domain at once
 // what it learned from the named instance. In a large fleet it forwards only what
--- a/core/crliveness/roster_test.go
+++ b/core/crliveness/roster_test.go
@@ -163,3 +163,32 @@
 		t.Errorf("reports go to %v", targets)
 	}
 }
+
+// TestUnheardInstanceReportsToItsDomainOnly has an instance of a large fleet hear from nobody
+// for three seconds. It must not report to the whole fleet, since all of it would then fetch
+// from this one instance what that reads from the store itself.
+func TestUnheardInstanceReportsToItsDomainOnly(t *testing.T) {
+	for _, c := range []struct {
+		others int
+		silent time.Duration
+		want   bool
+	}{
+		{99, 3 * time.Second, true},
+		{99, 29 * time.Second, true},
+		// In a small fleet all instances report to each other.
+		{12, 3 * time.Second, false},
+	} {
+		r := fleet(c.others)
+		now := start.Add(c.silent)
+		if n := r.Size(now); n != 1 {
+			t.Fatalf("%d of %d instances are alive after %s, want 1", n, c.others+1, c.silent)
+		}
+		only := true
+		for _, i := range r.DueAtOnce(now) {
+			only = only && i.FailureDomain == r.Self.FailureDomain
+		}
+		if only != c.want {
+			t.Errorf("%d others, silent for %s: reports to its domain only: %t, want %t", c.others, c.silent, only, c.want)
+		}
+	}
+}
--- a/core/crliveness/view.go
+++ b/core/crliveness/view.go
@@ -11,11 +11,12 @@
 type view struct {
 	at     time.Time
 	status Status
-	// size is the number of live instances. domainSize is the number of known instances,
-	// live or silent, in this instance's failure domain. Both include this instance.
-	size, domainSize int
-	relay            string
-	watchers         []candidate
+	// size is the number of live instances, and heard that of the instances that were heard
+	// from, live or silent. domainSize is the number of known instances, live or silent, in
+	// this instance's failure domain. All include this instance.
+	size, heard, domainSize int
+	relay                   string
+	watchers                []candidate
 }
 
 // view returns the current view, and computes it if the last one is out of date.
@@ -23,7 +24,7 @@
 	if v := r.cachedView; v != nil && v.status == r.Status && !now.Before(v.at) && now.Sub(v.at) < maxViewAge {
 		return v
 	}
-	v := &view{at: now, status: r.Status, size: 1, domainSize: 1, relay: r.Self.Name}
+	v := &view{at: now, status: r.Status, size: 1, heard: 1, domainSize: 1, relay: r.Self.Name}
 	first := relayScore(r.Self)
 	var relay *entry
 	for _, e := range r.peers {
@@ -31,6 +32,9 @@
 		if own {
 			v.domainSize++
 		}
+		if !e.heard.IsZero() {
+			v.heard++
+		}
 		if !r.alive(now, e) {
 			continue
 		}
