Tell a failure domain the fleet's work only where all of it is known

A bulletin of the relay of a large failure domain has the sums of the requests in flight in the fleet, and its instances drop those of the bulletin before. A relay that has just started told them the little that it had heard.

A relay now tells the sums only once it has those of all other failure domains with live instances.

--- a/core/crgrant/bulletin.go
+++ b/core/crgrant/bulletin.go
@@ -82,14 +82,14 @@
 	if len(r.bulletin.digests) == 0 {
 		return nil, nil
 	}
-	m := &pb.Bulletin{Full: r.bulletin.full}
+	m := &pb.Bulletin{Full: r.bulletin.full && s.knowsFleetWork(now)}
 	if m.GetFull() {
 		all := func(string) bool { return true }
 		m.WorkEndpoints, m.WorkRequests = workProto(s.work.Sums(all))
 		m.Failures = failuresProto(s.failures.Sums(now, all))
 		m.Rollouts = s.progressProto(now, all)
+		r.bulletin.full = false
 	}
-	r.bulletin.full = false
 	m.Digests = r.bulletin.take()
 	data, err := proto.Marshal(m)
 	if err != nil {
@@ -98,6 +98,15 @@
 	return s.distribute(now, &pb.Report{From: peerProto(s.Self), Bulletin: data, Forwarded: true}), nil
 }
 
+// knowsFleetWork reports whether this instance has the requests in flight of all other
+// failure domains. A relay that has just started doesn't. If it told its domain what it knows,
+// the others there would drop what the relay before it told them.
+func (s *State) knowsFleetWork(now time.Time) bool {
+	return !slices.ContainsFunc(s.roster.Alive(now), func(i crliveness.Instance) bool {
+		return i.FailureDomain != s.Self.FailureDomain && !s.work.Has(domainSourcePrefix+i.FailureDomain)
+	})
+}
+
 // workProto encodes counts of requests in flight as digests and bulletins carry them.
 func workProto(work map[crledger.Key]int) (endpoints, requests []uint32) {
 	for k, n := range work {
--- a/core/crledger/reported.go
+++ b/core/crledger/reported.go
@@ -66,6 +66,12 @@
 // Count returns the sum of the counts of all other instances at an endpoint.
 func (r *Reported) Count(k Key) int { return r.sums[k] }
 
+// Has reports whether counts under the name of an instance or group are in use.
+func (r *Reported) Has(instance string) bool {
+	_, ok := r.reports[instance]
+	return ok
+}
+
 // Sums returns the sums of the counts in own and of those of the other instances for which
 // want returns true. It doesn't change own.
 func (r *Reported) Sums(own map[Key]int, want func(instance string) bool) map[Key]int {
