--- a/io/crforward/crash_test.go
+++ b/io/crforward/crash_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -224,9 +225,9 @@
 		head       bool
 	}{{"plain", "/read/", false}, {"stream", "/draft/", false}, {"stream with a head", "/draft/", true}} {
 		t.Run(c.name, func(t *testing.T) {
-			arrived := 0
+			var arrived atomic.Int64
 			runEngines(t, 2, func(r *fixture, i int, w http.ResponseWriter, q *http.Request) {
-				if arrived++; arrived > 1 {
+				if arrived.Add(1) > 1 {
 					time.Sleep(5 * time.Second)
 					_, _ = io.WriteString(w, eventText(1, 2))
 					return
@@ -245,8 +246,8 @@
 				}()
 				r.send(r.t.Context(), c.path, "", "Parts", "system own")
 				time.Sleep(5 * time.Second)
-				if arrived != 2 {
-					t.Errorf("%d arrivals, want a successor", arrived)
+				if n := arrived.Load(); n != 2 {
+					t.Errorf("%d arrivals, want a successor", n)
 				}
 			})
 		})
--- a/io/crforward/left_test.go
+++ b/io/crforward/left_test.go
@@ -7,10 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-
 	"sync"
 	"sync/atomic"
-
 	"testing"
 	"time"
 
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -28,11 +28,11 @@
 	answer *crhop.Answer
 }
 
-// sendWatched sends a request and returns the first answer, for a success that may be repeated
-// once its body has begun. While the endpoint is silent, a successor may be sent to another endpoint; the
-// attempt that is answered later is canceled. The returned grant is that of the answer, or
-// the given one if there is an error. The successor is sent after the limit at the latest;
-// zero means no limit.
+// sendWatched sends a request and returns the first answer. A success of a request that may be
+// repeated counts once its body has begun. While the endpoint is silent, a successor may be
+// sent to another endpoint; the attempt that is answered later is canceled. The returned grant
+// is that of the answer, or the given one if there is an error. The successor is sent after
+// the limit at the latest; zero means no limit.
 func (x *exchange) sendWatched(ctx context.Context, g *crgrant.Grant, lastEvent string, limit time.Duration) (attemptAnswer, error) {
 	type sent struct {
 		answer *crhop.Answer
--- a/io/crrouter/stop_active_test.go
+++ b/io/crrouter/stop_active_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"bufio"
-	"fmt"
-	"net"
-
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
