Refuse what may outlast a long stop within three seconds

A planned stop refuses requests that may outlast it after 0.3 of the stop timeout. The delay is 2.5 s at most now; with the 8 s of today's deployments it stays 2.4 s.

TestLongStopRefusesInTime: 20 s gave 6 s by the formula before, and gives 2.5 s now.

--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -51,9 +51,6 @@
 	prunePause = time.Second
 	// peerDialTimeout bounds the dial of a peer or the store.
 	peerDialTimeout = 500 * time.Millisecond
-	// closingShare is the part of the stop timeout after which answers say that
-	// their connection closes: by then callers have heard of other addresses.
-	closingShare = 0.3
 	// startPatience is how long an instance that starts, and isn't a seed itself,
 	// waits for others to tell it what the store says; it is longer by up to
 	// patienceSpread at random, as many may start at once without a seed.
@@ -341,7 +338,7 @@
 	r.Log.Info("daemon: leaving", zap.Int64("requests-in-flight", r.Metrics.InFlight.Value()))
 	limit := r.Settings.StopTimeout
 	start := time.Now()
-	_ = crbackoff.Sleep(ctx, time.Duration(closingShare*float64(limit)))
+	_ = crbackoff.Sleep(ctx, closingDelay(limit))
 	r.closing.Store(true)
 	stopAt = start.Add(limit - stopMargin)
 	r.stopAt.Store(&stopAt)
--- a/io/crrouter/stop.go
+++ b/io/crrouter/stop.go
@@ -16,8 +16,20 @@
 	// stopIdleTime is how long no request may be served before the remaining connections,
 	// on which none was read, are closed.
 	stopIdleTime = 100 * time.Millisecond
+	// closingShare is the part of the stop timeout after which answers say that their
+	// connection closes, and requests that may outlast the process are refused: by then
+	// callers have heard of other addresses. maxClosingDelay bounds it, since callers expect
+	// an answer to what they send three seconds after the signal.
+	closingShare    = 0.3
+	maxClosingDelay = 2500 * time.Millisecond
 )
 
+// closingDelay returns how long a planned stop goes on before kept connections are closed,
+// for the given stop timeout.
+func closingDelay(limit time.Duration) time.Duration {
+	return min(time.Duration(closingShare*float64(limit)), maxClosingDelay)
+}
+
 // activeConns counts the connections of a server that carry a request, from when its header
 // was read until its answer was written. The handler returns before that: the end of the
 // answer may wait for a slow caller. activeConns is safe for concurrent use.
--- a/io/crrouter/stop_test.go
+++ b/io/crrouter/stop_test.go
@@ -94,3 +94,18 @@
 		}
 	})
 }
+
+// TestLongStopRefusesInTime checks that a stop of any length refuses requests that may outlast
+// it within the three seconds after which callers expect their requests to be answered.
+func TestLongStopRefusesInTime(t *testing.T) {
+	for limit, want := range map[time.Duration]time.Duration{
+		2 * time.Second:  600 * time.Millisecond,
+		8 * time.Second:  2400 * time.Millisecond,
+		20 * time.Second: 2500 * time.Millisecond,
+		time.Minute:      2500 * time.Millisecond,
+	} {
+		if got := closingDelay(limit); got != want {
+			t.Errorf("a stop of %s refuses after %s, want %s", limit, got, want)
+		}
+	}
+}
