Log the request rates that endpoints name as their limits

Nothing read the header Server-Limit, so that logs couldn't tell whether an instance knew of a limit. The codec now reads it, crlimit keeps the newest statement of each endpoint, and an instance logs a change and shows the limit in its state. Nothing else follows from it yet.

--- a/core/crgrant/dump.go
+++ b/core/crgrant/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"crocusrack/core/crledger"
+	"crocusrack/core/crlimit"
 	"crocusrack/core/crquarantine"
 	"crocusrack/core/crrollout"
 )
@@ -41,6 +42,9 @@
 	FailureRate float64 `json:"failure-rate"`
 	// Slowness is the ratio of the time that the endpoint takes to the usual time.
 	Slowness float64 `json:"slowness"`
+	// Limit is the number of requests per second that the endpoint takes from all
+	// instances together. It is nil if the endpoint names no limit.
+	Limit *float64 `json:"limit-per-second,omitempty"`
 }
 
 // DumpService holds the speed learned for a service's endpoints.
@@ -80,11 +84,16 @@
 		d.Alive = append(d.Alive, i.Name)
 	}
 	for _, e := range s.endpoints {
+		var limit *float64
+		if perSecond := s.limits.PerSecond(e.Key); perSecond != crlimit.None {
+			limit = &perSecond
+		}
 		d.Endpoints = append(d.Endpoints, DumpEndpoint{
 			ID: e.ID, Service: e.Service, FailureDomain: e.FailureDomain,
 			InFlight: s.work.InFlight(e.Key), Draining: e.Draining, Version: e.Version,
 			Cold: now.Before(e.ColdUntil), Usable: s.health.Usable(now, e.Key),
 			FailureRate: s.failures.FailureRate(now, e.Key), Slowness: s.pace.Slowness(now, e.Key),
+			Limit: limit,
 		})
 	}
 	d.Rollouts = s.rollouts.Statuses(now)
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -17,6 +17,7 @@
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crlatency"
 	"crocusrack/core/crledger"
+	"crocusrack/core/crlimit"
 	"crocusrack/core/crliveness"
 	"crocusrack/core/crplace"
 	"crocusrack/core/crquarantine"
@@ -86,6 +87,7 @@
 	coldGate   crplace.ColdGate
 	rollouts   crrollout.Table
 	quarantine crquarantine.Table
+	limits     crlimit.Table
 	// quarantineHash is the hash of the quarantines that OnQuarantine was called with last.
 	quarantineHash uint64
 	// trials holds when the last request of each trial was sent.
@@ -432,6 +434,15 @@
 	return d
 }
 
+// RecordLimit records the number of requests per second that the endpoint says it takes from
+// all instances together, or crlimit.None. It reports whether that changed.
+func (g *Grant) RecordLimit(now time.Time, perSecond float64) bool {
+	s := g.state
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.limits.Record(crlimit.Statement{Endpoint: g.Endpoint.Key, PerSecond: perSecond, At: s.Elapsed()})
+}
+
 // Drop removes the request from the requests in flight without recording an outcome,
 // because the outcome says nothing about the endpoint, for example when the caller left.
 func (g *Grant) Drop(now time.Time) {
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -117,6 +117,10 @@
 	// Pause returns how long an endpoint that rejected a request wants to get no more
 	// requests. Zero means that the answer doesn't say.
 	Pause func(status int, h http.Header) time.Duration
+	// Limit returns the number of requests per second that the endpoint takes from all
+	// instances together, or crlimit.None if the answer names no limit. It returns false if
+	// the answer isn't evidence of either.
+	Limit func(status int, h http.Header) (float64, bool)
 }
 
 // Forwarder is the HTTP handler for callers. The exported fields must be set before
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -316,7 +316,7 @@
 }
 
 // applyEndpointHints applies what the header of an answer says about its endpoint: that
-// it is about to stop, or wants no requests for a time.
+// it is about to stop, wants no requests for a time, or limits their rate.
 func (x *exchange) applyEndpointHints(g *crgrant.Grant, answer *crhop.Answer) {
 	if x.Codec.Leaving(answer.Header) && g.MarkLeaving(time.Now()) {
 		x.logLeaving(g)
@@ -324,6 +324,9 @@
 	if d := x.Codec.Pause(answer.Status, answer.Header); d > 0 {
 		x.logPaused(g, d, g.Pause(time.Now(), d))
 	}
+	if perSecond, ok := x.Codec.Limit(answer.Status, answer.Header); ok && g.RecordLimit(time.Now(), perSecond) {
+		x.logLimit(g, perSecond)
+	}
 }
 
 // endGrant reports the outcome to the grant, and logs if that ejected the endpoint.
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -9,6 +9,7 @@
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crhealth"
+	"crocusrack/core/crlimit"
 )
 
 // trace collects the fields of the log entry of a request.
@@ -166,6 +167,16 @@
 		zap.Duration("asked-ms", asked), zap.Duration("applied-ms", applied))
 }
 
+// logLimit logs that an endpoint names another limit than before, or none any more.
+func (x *exchange) logLimit(g *crgrant.Grant, perSecond float64) {
+	fields := []zap.Field{zap.String("request", x.request.ID), zap.String("endpoint", g.Endpoint.ID)}
+	if perSecond == crlimit.None {
+		x.Log.Info("entry: an endpoint limits requests no longer", fields...)
+		return
+	}
+	x.Log.Info("entry: an endpoint limits requests", append(fields, zap.Float64("limit-per-second", perSecond))...)
+}
+
 // logKept counts and logs that an attempt at a silent endpoint goes on because no other
 // endpoint took the request.
 func (m *stallMonitor) logKept() {
