--- /dev/null
+++ b/core/crgrant/limit_test.go
@@ -0,0 +1,283 @@
+package crgrant_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crhealth"
+	"crocusrack/core/crlimit"
+	"crocusrack/core/crplace"
+	"crocusrack/core/crroute"
+	pb "crocusrack/schema/crrouter"
+)
+
+const (
+	// limitWindow, limitFactor and limitSlack are the users' bound: in any limitWindow an
+	// endpoint gets limitFactor times what its limit allows, plus limitSlack requests, at
+	// most.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// toldBound is the time after an answer from which on it binds the instance that
+	// passed it on.
+	toldBound = 500 * time.Millisecond
+)
+
+// limiting is a fleet whose endpoints limit their request rates. Requests come at random
+// instances and times between the ticks of the fleet.
+type limiting struct {
+	*fleet
+	random  *rand.Rand
+	pending occurrences
+	servers []*limited
+	// restarted is when the process of each instance was last replaced.
+	restarted map[string]time.Time
+	// apart holds the instances that are out of touch.
+	apart map[string]bool
+	// old holds the instances whose build doesn't know limits.
+	old      map[string]bool
+	revision uint64
+	// offered counts the requests, and refused those that got no endpoint.
+	offered, refused int
+}
+
+// limited is an endpoint that may limit its request rate.
+type limited struct {
+	*crplace.Endpoint
+	perSecond float64
+	// named is when the endpoint first named its present limit.
+	named    time.Time
+	arrivals []limitedArrival
+	// told is when each run of an instance passed on the first answer that named the
+	// present limit.
+	told map[*node]time.Time
+}
+
+// limitedArrival is a request that arrived at an endpoint.
+type limitedArrival struct {
+	at   time.Time
+	node *node
+	// told is true if the instance is bound by an answer that it passed on.
+	told bool
+	// excused is true if the instance was restarted or cut off lately.
+	excused bool
+}
+
+func newLimiting(t testing.TB, size, servers int, seed uint64) *limiting {
+	l := &limiting{
+		fleet: newFleet(t, size), random: rand.New(rand.NewPCG(seed, 11)), revision: 1,
+		restarted: map[string]time.Time{}, apart: map[string]bool{}, old: map[string]bool{},
+	}
+	for i := range servers {
+		l.servers = append(l.servers, &limited{Endpoint: serverEndpoint(t, i, 1), perSecond: crlimit.None})
+	}
+	l.list()
+	l.run(contactBound)
+	return l
+}
+
+// list tells all instances of the endpoints.
+func (l *limiting) list() {
+	l.revision++
+	for _, name := range l.names {
+		l.tell(l.nodes[name])
+	}
+}
+
+func (l *limiting) tell(n *node) {
+	var list []*crplace.Endpoint
+	for _, s := range l.servers {
+		list = append(list, s.Endpoint)
+	}
+	n.SetEndpoints(l.now, l.revision, list)
+}
+
+// lossy loses the given share of messages.
+func (l *limiting) lossy(share float64) {
+	l.pass = func(_, _ string, m *pb.Report) *pb.Report {
+		if l.random.Float64() < share {
+			return nil
+		}
+		return m
+	}
+}
+
+// limit lets the first count endpoints name a limit from now on.
+func (l *limiting) limit(count int, perSecond float64) {
+	for _, s := range l.servers[:count] {
+		s.perSecond, s.named, s.told = perSecond, time.Time{}, make(map[*node]time.Time)
+	}
+}
+
+func (l *limiting) after(d time.Duration, run func(now time.Time)) {
+	heap.Push(&l.pending, occurrence{l.now.Add(d), run})
+}
+
+// run simulates the requests and the exchange of reports for the given time.
+func (l *limiting) run(d time.Duration) {
+	l.t.Helper()
+	const step = 200 * time.Millisecond
+	for last := l.now.Add(d); l.now.Before(last); {
+		l.fleet.run(step)
+		end := l.now
+		for len(l.pending) > 0 && l.pending[0].at.Before(end) {
+			o := heap.Pop(&l.pending).(occurrence)
+			l.now = o.at
+			l.shift(o.at.Sub(end))
+			o.run(o.at)
+			l.shift(end.Sub(o.at))
+		}
+		l.now = end
+	}
+}
+
+// shift changes the clocks of all instances.
+func (l *limiting) shift(d time.Duration) {
+	for _, n := range l.nodes {
+		n.elapsed += d
+	}
+}
+
+// arrive lets requests come at a rate per second from now on.
+func (l *limiting) arrive(rate float64) {
+	l.after(time.Duration(l.random.ExpFloat64()/rate*float64(time.Second)), func(time.Time) {
+		l.send()
+		l.arrive(rate)
+	})
+}
+
+// send sends a request of a random instance. Its answer takes up to half a second.
+func (l *limiting) send() {
+	name := l.names[l.random.IntN(len(l.names))]
+	if l.down[name] {
+		return
+	}
+	n := l.nodes[name]
+	l.offered++
+	g := n.Grant(l.now, crgrant.Request{Service: crroute.Service{Name: "llm"}, Draw: l.random.Uint64()})
+	if g.Endpoint == nil {
+		l.refused++
+		return
+	}
+	i := slices.IndexFunc(l.servers, func(s *limited) bool { return s.Key == g.Endpoint.Key })
+	if i < 0 {
+		g.End(l.now, crhealth.Refused)
+		return
+	}
+	s := l.servers[i]
+	told, known := s.told[n]
+	s.arrivals = append(s.arrivals, limitedArrival{
+		at: l.now, node: n, told: known && l.now.Sub(told) >= toldBound,
+		excused: l.apart[name] || l.old[name] || l.now.Sub(l.restarted[name]) < contactBound,
+	})
+	l.after(20*time.Millisecond+time.Duration(l.random.Int64N(int64(480*time.Millisecond))), func(now time.Time) {
+		if l.nodes[name] != n || l.down[name] {
+			return
+		}
+		if s.perSecond != crlimit.None {
+			if s.named.IsZero() {
+				s.named = now
+			}
+			if _, known := s.told[n]; !known {
+				s.told[n] = now
+			}
+		}
+		if !l.old[name] {
+			g.RecordLimit(now, s.perSecond)
+		}
+		g.End(now, crhealth.Good)
+	})
+}
+
+// most returns the largest number of requests within limitWindow that count, among those that
+// arrived from the given time on.
+func (s *limited) most(from time.Time, counts func(limitedArrival) bool) int {
+	var window []time.Time
+	most := 0
+	for _, a := range s.arrivals {
+		if a.at.Before(from) || !counts(a) {
+			continue
+		}
+		window = append(window, a.at)
+		for a.at.Sub(window[0]) >= limitWindow {
+			window = window[1:]
+		}
+		most = max(most, len(window))
+	}
+	return most
+}
+
+// checkLimits compares what arrived since the present limits were named with the users' bound.
+// The instances in touch must keep it together, also those that were told by others only. It
+// returns the part of the allowed requests that arrived.
+func (l *limiting) checkLimits() float64 {
+	l.t.Helper()
+	got, allowed, worst := 0.0, 0.0, 0
+	for _, s := range l.servers {
+		if s.perSecond == crlimit.None || s.named.IsZero() {
+			continue
+		}
+		from := s.named.Add(contactBound)
+		bound := int(limitFactor*s.perSecond*limitWindow.Seconds() + limitSlack)
+		told := s.most(from, func(a limitedArrival) bool { return a.told && !a.excused })
+		all := s.most(from, func(a limitedArrival) bool { return !a.excused })
+		worst = max(worst, all-bound)
+		if told > bound || all > bound {
+			l.t.Errorf("%s takes %.2f requests/s and got %d in %v from instances that it had told, %d from all; %d may be",
+				s.ID, s.perSecond, told, limitWindow, all, bound)
+		}
+		for _, a := range s.arrivals {
+			if !a.at.Before(from) && !a.excused {
+				got++
+			}
+		}
+		allowed += s.perSecond * l.now.Sub(from).Seconds()
+	}
+	l.t.Logf("%d of %d requests refused; endpoints got %.2f of what they take, at most %d over the bound", l.refused, l.offered, got/allowed, worst)
+	return got / allowed
+}
+
+// TestLimitedEndpointGetsNoMore guards against instances that together send more requests to an
+// endpoint than its limit allows.
+func TestLimitedEndpointGetsNoMore(t *testing.T) {
+	for _, c := range []struct {
+		size, servers, limited int
+		perSecond, offered     float64
+		loss                   float64
+	}{
+		{3, 9, 7, 2.9, 5, 0},
+		{3, 3, 3, 0.2, 5, 0.2},
+		{8, 12, 8, 2.5, 5, 0},
+		{8, 12, 12, 1, 5, 0.1},
+		{8, 12, 4, 0.1, 5, 0.1},
+		{33, 40, 40, 0.5, 5, 0.1},
+		{60, 80, 56, 3, 8, 0.1},
+		{60, 4, 4, 12, 60, 0.1},
+		{295, 60, 60, 0.8, 5, 0.1},
+		{780, 100, 70, 1.5, 5, 0.1},
+	} {
+		t.Run(fmt.Sprint(c.size, " instances, ", c.limited, " of ", c.servers, " endpoints take ", c.perSecond), func(t *testing.T) {
+			if c.size > 300 && !*largestFleet {
+				t.Skip("takes a minute; run with -largest-fleet")
+			}
+			seeds := uint64(1)
+			if c.size < 10 {
+				seeds = 8
+			}
+			for seed := range seeds {
+				l := newLimiting(t, c.size, c.servers, seed)
+				l.lossy(c.loss)
+				l.arrive(c.offered * float64(c.servers))
+				l.run(2 * time.Second)
+				l.limit(c.limited, c.perSecond)
+				l.run(14 * time.Second)
+				l.checkLimits()
+			}
+		})
+	}
+}
