Keep to the rates that endpoints name as their limits

What callers saw: endpoints in need got up to 38 requests in 4 s where 23 may be, so that they stayed in need.

Cause: an endpoint's statement about itself, in the header of its answers, was not read, and no mechanism bounded a rate over the whole fleet but for endpoints that warm up, whose rate the operator sets. The class: something that an outside system says in its answers is passed on, and decides nothing.

Change: the newest statement of each endpoint is kept by its time on a clock that counts suspension, and told to the other instances in reports, digests, bulletins and to starting instances. The end of a limit is a statement, too. For each endpoint, three instances and one more for each request per second are chosen by its key; each sends an equal part of the rate, with no more than one request in hand. Where only such endpoints are left, the request is rejected at once as all-limited, with a time to return at which the endpoints take one of this instance. Endpoints that may not be used now don't count for the mean load. An incarnation's limit ends with it.

Tests of limits that change or end, restarts of endpoints and instances, cuts and old builds pass.

Formats stay readable both ways; the test now plays the two releases before.

--- a/core/crgrant/builds_test.go
+++ b/core/crgrant/builds_test.go
@@ -17,20 +17,27 @@
 	if m.Digest != nil {
 		m.Digest.CrashEvidence, m.Digest.Quarantines = nil, nil
 	}
-	if m.Bulletin != nil {
-		b := &pb.Bulletin{}
-		if err := proto.Unmarshal(m.Bulletin, b); err != nil {
-			t.Fatal(err)
-		}
-		for _, d := range b.Digests {
-			d.CrashEvidence, d.Quarantines = nil, nil
-		}
-		data, err := proto.Marshal(b)
-		if err != nil {
-			t.Fatal(err)
-		}
-		m.Bulletin = data
+	return changeBulletin(t, m, func(d *pb.Digest) { d.CrashEvidence, d.Quarantines = nil, nil })
+}
+
+// changeBulletin changes the digests of the bulletin in a message, if there is one.
+func changeBulletin(t testing.TB, m *pb.Report, change func(*pb.Digest)) *pb.Report {
+	t.Helper()
+	if m.Bulletin == nil {
+		return m
+	}
+	b := &pb.Bulletin{}
+	if err := proto.Unmarshal(m.Bulletin, b); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range b.Digests {
+		change(d)
+	}
+	data, err := proto.Marshal(b)
+	if err != nil {
+		t.Fatal(err)
 	}
+	m.Bulletin = data
 	return m
 }
 
--- a/core/crgrant/bulletin.go
+++ b/core/crgrant/bulletin.go
@@ -45,7 +45,7 @@
 		FailureDomain: d.GetFailureDomain(), Full: d.GetFull(), Contexts: d.GetContexts(),
 		Members: d.GetMembers(), MembersHash: d.GetMembersHash(), SilentMs: d.GetSilentMs(),
 		Unreachable: d.GetUnreachable(), LeavingEndpoints: d.GetLeavingEndpoints(),
-		CrashEvidence: d.GetCrashEvidence(), Quarantines: d.Quarantines,
+		CrashEvidence: d.GetCrashEvidence(), Quarantines: d.Quarantines, Limits: d.GetLimits(),
 	}
 	if len(b.digests) >= maxPendingDigests {
 		// Later digests repeat the content of the oldest one.
--- a/core/crgrant/context.go
+++ b/core/crgrant/context.go
@@ -23,12 +23,12 @@
 	s.contexts.Record(now, link, true, crledger.Key(c.GetEndpoint()), until)
 }
 
-// Contexts returns the recently used contexts that endpoints hold, and the evidence of
-// parts of prompts that crash endpoints.
+// Contexts returns the recently used contexts that endpoints hold, the evidence of parts of
+// prompts that crash endpoints, and the limits that endpoints have named.
 func (s *State) Contexts(now time.Time) *pb.Contexts {
 	s.lock(now)
 	defer s.mu.Unlock()
-	m := &pb.Contexts{CrashEvidence: evidenceProto(now, s.quarantine.All())}
+	m := &pb.Contexts{CrashEvidence: evidenceProto(now, s.quarantine.All()), Limits: s.limitsProto(s.limits.All())}
 	for _, h := range s.contexts.Recent(now.Add(-maxCheckpointAge), maxCheckpointContexts) {
 		if s.placer.Endpoint(h.Endpoint) != nil {
 			m.Contexts = append(m.Contexts, &pb.Context{Chain: h.Chain, Endpoint: uint64(h.Endpoint), Tokens: uint32(h.Tokens)})
@@ -45,8 +45,8 @@
 	return !s.contexts.Empty()
 }
 
-// ApplyContexts records the contexts that another instance knows of, and its evidence of
-// parts of prompts that crash endpoints.
+// ApplyContexts records the contexts that another instance knows of, its evidence of parts of
+// prompts that crash endpoints, and the limits of endpoints.
 func (s *State) ApplyContexts(now time.Time, m *pb.Contexts) {
 	s.lock(now)
 	defer s.mu.Unlock()
@@ -54,4 +54,5 @@
 		s.applyContext(now, c)
 	}
 	s.applyEvidence(now, m.GetCrashEvidence())
+	s.applyLimits(m.GetLimits())
 }
--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -142,6 +142,7 @@
 	m.Quarantines = s.quarantinesProto(now)
 	m.Unreachable = s.unreachable(now)
 	m.LeavingEndpoints = s.leaving(now)
+	m.Limits = s.limitsProto(s.limits.News(s.Elapsed(), maxDigestLimits))
 }
 
 // unreachable returns the endpoints that a digest lists as unreachable. They are those
@@ -209,6 +210,7 @@
 	}
 	s.applyLeaving(now, m.GetLeavingEndpoints())
 	s.applyEvidence(now, m.GetCrashEvidence())
+	s.applyLimits(m.GetLimits())
 	s.compareQuarantines(now, domainSourcePrefix+m.GetFailureDomain(), m.Quarantines)
 	return nil
 }
--- a/core/crgrant/formats_test.go
+++ b/core/crgrant/formats_test.go
@@ -14,30 +14,32 @@
 	"google.golang.org/protobuf/types/descriptorpb"
 	"google.golang.org/protobuf/types/dynamicpb"
 
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crroute"
 	pb "crocusrack/schema/crrouter"
 )
 
-// earlierFields are the fields that the release before doesn't know.
-var earlierFields = map[string][]string{
-	"Report":   {"crash_evidence", "quarantines"},
-	"Digest":   {"crash_evidence", "quarantines"},
-	"Contexts": {"crash_evidence"},
+// earlierFields are the fields that earlier releases don't know.
+var earlierFields = map[string]map[string][]string{
+	"without quarantines and limits": {
+		"Report":   {"crash_evidence", "quarantines", "limits"},
+		"Digest":   {"crash_evidence", "quarantines", "limits"},
+		"Contexts": {"crash_evidence", "limits"},
+	},
+	"without limits": {"Report": {"limits"}, "Digest": {"limits"}, "Contexts": {"limits"}},
 }
 
-// earlier returns the message types as the release before knows them.
-func earlier(t *testing.T) protoreflect.FileDescriptor {
+// earlier returns the message types as a release without the given fields knows them.
+func earlier(t *testing.T, fields map[string][]string) protoreflect.FileDescriptor {
 	t.Helper()
 	file := protodesc.ToFileDescriptorProto(pb.File_router_proto)
 	for _, m := range file.MessageType {
-		names := earlierFields[m.GetName()]
+		names := fields[m.GetName()]
 		m.Field = slices.DeleteFunc(m.Field, func(f *descriptorpb.FieldDescriptorProto) bool { return slices.Contains(names, f.GetName()) })
-		if m.GetName() == "Report" {
+		if slices.Contains(names, "quarantines") {
 			// The optional field had a oneof of its own.
 			m.OneofDecl = nil
 		}
-		if m.GetName() == "Digest" {
-			m.OneofDecl = nil
-		}
 	}
 	f, err := protodesc.NewFile(file, protoregistry.GlobalFiles)
 	if err != nil {
@@ -46,14 +48,22 @@
 	return f
 }
 
-// TestReleaseBeforeReadsMessages checks that the release before reads a report with evidence
-// of crashes, that what it passes on still has the evidence, and that its own messages are
-// read and not taken for other quarantines.
+// TestReleaseBeforeReadsMessages checks that earlier releases read messages with evidence of
+// crashes and limits of endpoints, that what they pass on still has them, and that their own
+// messages are read and not taken for other quarantines.
 func TestReleaseBeforeReadsMessages(t *testing.T) {
+	for release, fields := range earlierFields {
+		t.Run(release, func(t *testing.T) { exchangeWithEarlier(t, fields) })
+	}
+}
+
+func exchangeWithEarlier(t *testing.T, fields map[string][]string) {
 	f := newFleet(t, 3)
 	f.crashes(100, 0, 0, 0)
 	f.run(time.Second)
 	n := f.nodes[f.names[0]]
+	g := n.Grant(f.now, crgrant.Request{Service: crroute.Service{Name: "llm"}})
+	g.RecordLimit(f.now, 0.5)
 	for name, m := range map[string]proto.Message{
 		"Report": n.Compose(f.now, f.names[1]), "Digest": n.Digest(f.now, true), "Contexts": n.Contexts(f.now),
 	} {
@@ -61,7 +71,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		old := dynamicpb.NewMessage(earlier(t).Messages().ByName(protoreflect.Name(name)))
+		old := dynamicpb.NewMessage(earlier(t, fields).Messages().ByName(protoreflect.Name(name)))
 		if err := proto.Unmarshal(data, old); err != nil {
 			t.Errorf("%s: the release before can't read it: %v", name, err)
 		}
@@ -85,11 +95,14 @@
 		t.Error("evidence is told though nothing is new")
 	}
 	m := f.nodes[f.names[1]].Compose(f.now, f.names[0])
-	m.CrashEvidence, m.Quarantines = nil, nil
+	m.CrashEvidence, m.Quarantines, m.Limits = nil, nil, nil
 	if _, err := n.Receive(f.now, m); err != nil {
 		t.Errorf("a report of the release before: %v", err)
 	}
 	if n.Compose(f.now, f.names[1]).GetCrashEvidence() != nil {
 		t.Error("a report of the release before is taken for other quarantines")
 	}
+	if len(n.Compose(f.now, f.names[1]).GetLimits().GetEndpoints()) != 1 {
+		t.Error("a report of the release before ended a limit")
+	}
 }
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -88,6 +88,7 @@
 	rollouts   crrollout.Table
 	quarantine crquarantine.Table
 	limits     crlimit.Table
+	limitGate  crlimit.Gate
 	// quarantineHash is the hash of the quarantines that OnQuarantine was called with last.
 	quarantineHash uint64
 	// trials holds when the last request of each trial was sent.
@@ -127,6 +128,7 @@
 		s.outs = make(map[string]bool)
 		s.firstListed = make(map[string]time.Time)
 		s.coldGate.Roster = &s.roster
+		s.limitGate.Roster = &s.roster
 		if !s.Disabled.Has(crswitch.Rollouts) {
 			s.rollouts.Limits = s.Rollouts
 		}
@@ -144,6 +146,18 @@
 			AdmitCold: func(e *crplace.Endpoint, perSecond float64) bool {
 				return s.coldGate.Admit(s.callTime, e, perSecond)
 			},
+			Limit: func(e *crplace.Endpoint) (float64, time.Duration) {
+				perSecond := s.limits.PerSecond(e.Key)
+				if perSecond == crlimit.None {
+					return perSecond, 0
+				}
+				return perSecond, s.limitGate.Wait(s.callTime, e.Key, perSecond)
+			},
+			TakeLimited: func(e *crplace.Endpoint) {
+				if s.limits.PerSecond(e.Key) != crlimit.None {
+					s.limitGate.Take(s.callTime, e.Key)
+				}
+			},
 			DomainOutOfService: func(domain string) bool { return s.outs[domain] },
 		}
 		s.placer.SetEndpoints(nil)
@@ -434,15 +448,6 @@
 	return d
 }
 
-// RecordLimit records the number of requests per second that the endpoint says it takes from
-// all instances together, or crlimit.None. It reports whether that changed.
-func (g *Grant) RecordLimit(now time.Time, perSecond float64) bool {
-	s := g.state
-	s.lock(now)
-	defer s.mu.Unlock()
-	return s.limits.Record(crlimit.Statement{Endpoint: g.Endpoint.Key, PerSecond: perSecond, At: s.Elapsed()})
-}
-
 // Drop removes the request from the requests in flight without recording an outcome,
 // because the outcome says nothing about the endpoint, for example when the caller left.
 func (g *Grant) Drop(now time.Time) {
--- a/core/crgrant/limit_test.go
+++ b/core/crgrant/limit_test.go
@@ -23,6 +23,9 @@
 	limitWindow = 4 * time.Second
 	limitFactor = 1.5
 	limitSlack  = 5
+	// minTaken is the fraction of what endpoints take that must be sent to them while more
+	// is asked for.
+	minTaken = 0.7
 	// toldBound is the time after an answer from which on it binds the instance that
 	// passed it on.
 	toldBound = 500 * time.Millisecond
@@ -42,6 +45,8 @@
 	// old holds the instances whose build doesn't know limits.
 	old      map[string]bool
 	revision uint64
+	// lost is the share of messages that are lost.
+	lost float64
 	// offered counts the requests, and refused those that got no endpoint.
 	offered, refused int
 }
@@ -76,6 +81,7 @@
 	for i := range servers {
 		l.servers = append(l.servers, &limited{Endpoint: serverEndpoint(t, i, 1), perSecond: crlimit.None})
 	}
+	l.pass = l.message
 	l.list()
 	l.run(contactBound)
 	return l
@@ -97,14 +103,25 @@
 	n.SetEndpoints(l.now, l.revision, list)
 }
 
-// lossy loses the given share of messages.
-func (l *limiting) lossy(share float64) {
-	l.pass = func(_, _ string, m *pb.Report) *pb.Report {
-		if l.random.Float64() < share {
-			return nil
-		}
-		return m
+// message returns a message as it arrives, or nil if it is lost.
+func (l *limiting) message(from, to string, m *pb.Report) *pb.Report {
+	if l.random.Float64() < l.lost {
+		return nil
+	}
+	if l.old[from] || l.old[to] {
+		return withoutLimits(l.t, m)
+	}
+	return m
+}
+
+// withoutLimits removes from a message what builds before limits don't know.
+func withoutLimits(t testing.TB, m *pb.Report) *pb.Report {
+	t.Helper()
+	m.Limits = nil
+	if m.Digest != nil {
+		m.Digest.Limits = nil
 	}
+	return changeBulletin(t, m, func(d *pb.Digest) { d.Limits = nil })
 }
 
 // limit lets the first count endpoints name a limit from now on.
@@ -194,6 +211,23 @@
 	})
 }
 
+// restart replaces the process of an instance. It takes over the contexts of a peer if fed is
+// true.
+func (l *limiting) restart(name string, fed bool) {
+	i := slices.Index(l.names, name)
+	n, old := newNode(i), l.nodes[name]
+	n.Self, n.Run, n.elapsed = old.Self, old.Run+1000, old.elapsed
+	n.SetRouting(&pb.Routing{Version: 3})
+	l.nodes[name] = n
+	l.restarted[name] = l.now
+	l.tell(n)
+	peer := l.nodes[l.names[(i+1)%len(l.names)]]
+	n.Add(l.now, peer.Self)
+	if fed {
+		n.ApplyContexts(l.now, peer.Contexts(l.now))
+	}
+}
+
 // most returns the largest number of requests within limitWindow that count, among those that
 // arrived from the given time on.
 func (s *limited) most(from time.Time, counts func(limitedArrival) bool) int {
@@ -259,7 +293,7 @@
 		{60, 80, 56, 3, 8, 0.1},
 		{60, 4, 4, 12, 60, 0.1},
 		{295, 60, 60, 0.8, 5, 0.1},
-		{780, 100, 70, 1.5, 5, 0.1},
+		{780, 800, 560, 1.5, 5, 0.1},
 	} {
 		t.Run(fmt.Sprint(c.size, " instances, ", c.limited, " of ", c.servers, " endpoints take ", c.perSecond), func(t *testing.T) {
 			if c.size > 300 && !*largestFleet {
@@ -271,13 +305,148 @@
 			}
 			for seed := range seeds {
 				l := newLimiting(t, c.size, c.servers, seed)
-				l.lossy(c.loss)
+				l.lost = c.loss
 				l.arrive(c.offered * float64(c.servers))
 				l.run(2 * time.Second)
 				l.limit(c.limited, c.perSecond)
 				l.run(14 * time.Second)
-				l.checkLimits()
+				if share := l.checkLimits(); share < minTaken {
+					t.Errorf("endpoints got %.2f of what they take, want %.2f", share, minTaken)
+				}
 			}
 		})
 	}
 }
+
+// TestLimitsChange guards against instances that keep to an earlier limit of an endpoint, or to
+// one that has ended.
+func TestLimitsChange(t *testing.T) {
+	for _, size := range []int{3, 8, 33} {
+		for seed := range uint64(max(1, 12/size)) {
+			l := newLimiting(t, size, size+3, 100+seed)
+			l.lost = 0.1
+			l.arrive(6 * float64(len(l.servers)))
+			for _, perSecond := range []float64{3, 0.3, 8, 0} {
+				l.limit(len(l.servers)/2, perSecond)
+				l.run(10 * time.Second)
+				if l.checkLimits(); t.Failed() {
+					t.Fatalf("%d instances, seed %d, %v requests per second", size, 100+seed, perSecond)
+				}
+			}
+			// The last limit is so low that the answer which shows its end comes late.
+			l.limit(len(l.servers)/2, crlimit.None)
+			l.run(30 * time.Second)
+			ended := l.now
+			l.run(5 * time.Second)
+			limited, others := 0, 0
+			for i, s := range l.servers {
+				for _, a := range s.arrivals {
+					switch {
+					case a.at.Before(ended):
+					case i < len(l.servers)/2:
+						limited++
+					default:
+						others++
+					}
+				}
+			}
+			if mean := float64(others) / float64(len(l.servers)-len(l.servers)/2); float64(limited)/float64(len(l.servers)/2) < 0.7*mean {
+				t.Errorf("%d instances, seed %d: endpoints whose limit has ended got %d requests, %d others %d", size, 100+seed, limited, len(l.servers)-len(l.servers)/2, others)
+			}
+		}
+	}
+}
+
+// TestRestartedEndpointHasNoLimit guards against a limit that outlives the run of the endpoint
+// that named it.
+func TestRestartedEndpointHasNoLimit(t *testing.T) {
+	l := newLimiting(t, 8, 6, 1)
+	l.arrive(30)
+	l.limit(3, 0.5)
+	l.run(8 * time.Second)
+	for i, s := range l.servers[:3] {
+		s.Endpoint, s.perSecond, s.arrivals = serverEndpoint(t, i, 2), crlimit.None, nil
+	}
+	l.list()
+	l.run(4 * time.Second)
+	for _, s := range l.servers[:3] {
+		if n := len(s.arrivals); n < 10 {
+			t.Errorf("%s got %d requests in 4 s after its restart, want a sixth of 120", s.ID, n)
+		}
+	}
+}
+
+// TestLimitsOutliveInstances guards against limits that are exceeded while the processes of
+// instances are replaced one after the other.
+func TestLimitsOutliveInstances(t *testing.T) {
+	for _, size := range []int{3, 8, 33} {
+		for seed := range uint64(max(1, 12/size)) {
+			for _, fed := range []bool{true, false} {
+				l := newLimiting(t, size, 12, 200+seed)
+				l.lost = 0.1
+				l.arrive(60)
+				l.limit(8, []float64{2.5, 0.4, 1}[seed%3])
+				l.run(4 * time.Second)
+				for i := range 16 {
+					l.run(600 * time.Millisecond)
+					l.restart(l.names[(5*i+1)%size], fed)
+				}
+				if l.checkLimits(); t.Failed() {
+					t.Fatalf("%d instances, seed %d, fed %t", size, 200+seed, fed)
+				}
+			}
+		}
+	}
+}
+
+// TestLimitsHoldBesideCuts guards against limits that are exceeded by the instances in touch
+// while others hear nobody, and by all after that.
+func TestLimitsHoldBesideCuts(t *testing.T) {
+	for _, size := range []int{3, 8, 33} {
+		for seed := range uint64(max(1, 12/size)) {
+			l := newLimiting(t, size, 12, 300+seed)
+			l.lost = 0.1
+			l.arrive(60)
+			l.apart[l.names[0]], l.apart[l.names[size/2]] = true, size > 3
+			for name, apart := range l.apart {
+				for _, other := range l.names {
+					if apart && other != name {
+						l.cut[[2]string{name, other}] = true
+					}
+				}
+			}
+			l.limit(8, []float64{2.5, 0.4, 1}[seed%3])
+			l.run(12 * time.Second)
+			l.checkLimits()
+			clear(l.cut)
+			l.run(contactBound)
+			clear(l.apart)
+			for _, s := range l.servers {
+				s.arrivals = nil
+			}
+			l.run(8 * time.Second)
+			if l.checkLimits(); t.Failed() {
+				t.Fatalf("%d instances, seed %d", size, 300+seed)
+			}
+		}
+	}
+}
+
+// TestOldBuildsDoNotKeepLimitsFromNewOnes runs a third of the instances on a build that knows no
+// limits. The new ones must keep the bound together.
+func TestOldBuildsDoNotKeepLimitsFromNewOnes(t *testing.T) {
+	for _, size := range []int{3, 9, 33, 99} {
+		for seed := range uint64(max(1, 12/size)) {
+			l := newLimiting(t, size, max(9, size/2), 400+seed)
+			for i, name := range l.names {
+				l.old[name] = i%9/3 == 1 || size == 3 && i == 1
+			}
+			l.arrive(5 * float64(len(l.servers)))
+			l.limit(len(l.servers)*2/3, 1.2)
+			l.run(14 * time.Second)
+			if l.checkLimits(); t.Failed() {
+				t.Fatalf("%d instances, seed %d", size, 400+seed)
+			}
+		}
+	}
+}
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -137,6 +137,7 @@
 	m.Failures = failuresProto(s.failures.OwnCounts(now))
 	m.Rollouts = s.progressProto(now, nil)
 	m.CrashEvidence = evidenceProto(now, s.quarantine.News(now))
+	m.Limits = s.limitsProto(s.limits.News(s.Elapsed(), maxReportedLimits))
 	return m
 }
 
@@ -395,6 +396,7 @@
 	s.applyFailures(now, name, m.GetFailures(), crhealth.Counts{})
 	s.applyProgress(now, name, m.GetRollouts(), nil)
 	s.applyEvidence(now, m.GetCrashEvidence())
+	s.applyLimits(m.GetLimits())
 	if s.roster.IsRelay(now, s.Self.Name) {
 		// Every instance now reports to this one directly. The sums of an earlier relay
 		// would count their requests twice.
--- a/core/crgrant/retry.go
+++ b/core/crgrant/retry.go
@@ -51,6 +51,8 @@
 	switch c.Reason {
 	case crplace.Busy:
 		return s.returnsFor(service).After(now, c.ServiceInFlight, s.roster.Size(now), rand.Float64())
+	case crplace.Limited:
+		return s.returnsFor(service).AfterAtRate(now, c.LimitPerSecond, s.roster.Size(now), rand.Float64())
 	case crplace.Paused:
 		// Each instance has already extended the pause at random.
 		return max(crretry.MinReturnDelay, after)
--- a/core/crgrant/state.go
+++ b/core/crgrant/state.go
@@ -43,6 +43,8 @@
 	}
 	present := func(k crledger.Key) bool { return s.placer.Endpoint(k) != nil }
 	s.coldGate.Forget(present)
+	s.limitGate.Forget(present)
+	s.limits.Expire(s.Elapsed(), present)
 	s.reads.Forget(present)
 	s.pace.Forget(present)
 	s.failures.Retain(present)
--- a/core/crplace/candidate.go
+++ b/core/crplace/candidate.go
@@ -71,12 +71,13 @@
 }
 
 // candidates returns the endpoints that may be used, and the mean load: the requests in
-// flight at all endpoints of the service, divided by the number of endpoints that aren't
-// draining. Endpoints that are ejected for failures are included only if they exceed
+// flight at the endpoints of the service, divided by the number of endpoints that aren't
+// draining. Endpoints that may not be used because of their limits count for neither. Endpoints that are ejected for failures are included only if they exceed
 // maxEjectedShare. The returned slice is valid until the next call.
 func (p *Placer) candidates(now time.Time, a Request, held map[crledger.Key]int) ([]candidate, float64) {
 	p.healthy, p.ejected, p.pausedUntil = p.healthy[:0], p.ejected[:0], time.Time{}
-	total, count := 0, 0
+	p.limitPerSecond = 0
+	total, limitedWork, count := 0, 0, 0
 	for _, e := range p.services[a.Service] {
 		work := p.Ledger.InFlight(e.Key)
 		total += work
@@ -96,6 +97,12 @@
 		if slices.Contains(a.Tried, e.Key) || a.Allowed != nil && !a.Allowed(e.Key) {
 			continue
 		}
+		if perSecond, wait := p.Limit(e); wait > 0 {
+			p.limitPerSecond += perSecond
+			limitedWork += work
+			count--
+			continue
+		}
 		c := candidate{
 			Endpoint: e,
 			inFlight: work,
@@ -111,7 +118,7 @@
 	}
 	p.setExcessFailureRates(now)
 	p.serviceInFlight = total
-	mean := float64(total) / float64(max(count, 1))
+	mean := float64(total-limitedWork) / float64(max(count, 1))
 	if float64(len(p.ejected)) > maxEjectedShare*float64(len(p.healthy)+len(p.ejected)) {
 		p.healthy = append(p.healthy, p.ejected...)
 	}
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -91,6 +91,9 @@
 	Cold
 	// Paused means that the endpoints that are left asked for no requests for a while.
 	Paused
+	// Limited means that the endpoints that are left limit their request rates, and that
+	// this instance has used up its part.
+	Limited
 	// PrefillInProgress means that an endpoint is busy with the prefill of a prefix that
 	// this prompt shares, and that waiting for it is expected to pay off.
 	PrefillInProgress
@@ -99,7 +102,7 @@
 	Quarantined
 )
 
-var reasonNames = [...]string{Chosen: "chosen", NoEndpoint: "no-endpoint", Busy: "all-busy", Cold: "all-cold", Paused: "all-paused", PrefillInProgress: "reading", Quarantined: "quarantined-prompt"}
+var reasonNames = [...]string{Chosen: "chosen", NoEndpoint: "no-endpoint", Busy: "all-busy", Cold: "all-cold", Paused: "all-paused", Limited: "all-limited", PrefillInProgress: "reading", Quarantined: "quarantined-prompt"}
 
 // String returns the name of the reason in kebab case.
 func (r Reason) String() string {
@@ -134,6 +137,9 @@
 	MeanInFlight float64
 	// ServiceInFlight is the number of requests in flight at all endpoints of the service.
 	ServiceInFlight int
+	// LimitPerSecond is the sum of the rates that the limited endpoints take from all
+	// instances together. It is set only if Reason is Limited.
+	LimitPerSecond float64
 	// RetryAfter is the minimum time after which a request that got no endpoint
 	// may be retried. Zero means that it only waits for a free slot.
 	RetryAfter time.Duration
@@ -161,6 +167,12 @@
 	// AdmitCold reports whether this instance may send a request to a cold endpoint
 	// now, and if so counts it. See ColdGate.Admit.
 	AdmitCold func(e *Endpoint, perSecond float64) bool
+	// Limit returns the request rate that an endpoint takes from all instances together, per
+	// second, and the time until this instance may send it a request. The rate is
+	// crlimit.None if there is no limit.
+	Limit func(e *Endpoint) (perSecond float64, wait time.Duration)
+	// TakeLimited counts a request that is sent to an endpoint with a limit.
+	TakeLimited func(e *Endpoint)
 	// DomainOutOfService reports whether a failure domain is out of service.
 	DomainOutOfService func(domain string) bool
 
@@ -184,6 +196,9 @@
 	pausedUntil time.Time
 	// serviceInFlight is the number of requests in flight at all endpoints of the service.
 	serviceInFlight int
+	// limitPerSecond is the sum of the rates of the endpoints that were left out because of
+	// their limits.
+	limitPerSecond float64
 }
 
 // KeyOf returns the key of an incarnation of an endpoint.
@@ -235,6 +250,14 @@
 
 // Place chooses an endpoint for a request, or returns the reason why there is none.
 func (p *Placer) Place(now time.Time, a Request) Choice {
+	choice := p.choose(now, a)
+	if choice.Endpoint != nil {
+		p.TakeLimited(choice.Endpoint)
+	}
+	return choice
+}
+
+func (p *Placer) choose(now time.Time, a Request) Choice {
 	held := p.held(now, a)
 	p.speed = p.Latency.Speed(now, a.Service)
 	if wait := p.prefillWait(now, a, held); wait > 0 {
@@ -242,6 +265,9 @@
 	}
 	list, mean := p.candidates(now, a, held)
 	if len(list) == 0 {
+		if p.limitPerSecond > 0 {
+			return p.limited(mean)
+		}
 		if !p.pausedUntil.IsZero() {
 			return Choice{Reason: Paused, MeanInFlight: mean, ServiceInFlight: p.serviceInFlight, RetryAfter: p.pausedUntil.Sub(now)}
 		}
@@ -262,12 +288,20 @@
 		return p.newChoice(now, a, held, c, mean)
 	}
 	reason := Busy
-	if len(cold) > 0 {
+	switch {
+	case len(cold) > 0:
 		reason = Cold
+	case p.limitPerSecond > 0:
+		return p.limited(mean)
 	}
 	return Choice{Reason: reason, MeanInFlight: mean, ServiceInFlight: p.serviceInFlight}
 }
 
+// limited returns the Choice if endpoints could be used but for their limits.
+func (p *Placer) limited(mean float64) Choice {
+	return Choice{Reason: Limited, MeanInFlight: mean, ServiceInFlight: p.serviceInFlight, LimitPerSecond: p.limitPerSecond}
+}
+
 // held returns the number of tokens of the prompt that each endpoint holds.
 func (p *Placer) held(now time.Time, a Request) map[crledger.Key]int {
 	if p.Disabled.Has(crswitch.ContextAffinity) {
@@ -283,7 +317,12 @@
 		return 0
 	}
 	tokens, until := p.Contexts.PrefillInProgress(now, a.Links, func(k crledger.Key) bool {
-		return p.byKey[k] != nil && p.Health.Usable(now, k) && (a.Allowed == nil || a.Allowed(k))
+		e := p.byKey[k]
+		if e == nil || !p.Health.Usable(now, k) || a.Allowed != nil && !a.Allowed(k) {
+			return false
+		}
+		_, wait := p.Limit(e)
+		return wait == 0
 	})
 	maxHeld := 0
 	for k, n := range held {
--- a/core/crplace/place_test.go
+++ b/core/crplace/place_test.go
@@ -13,6 +13,7 @@
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crlatency"
 	"crocusrack/core/crledger"
+	"crocusrack/core/crlimit"
 	"crocusrack/core/crliveness"
 	"crocusrack/core/crplace"
 )
@@ -39,6 +40,8 @@
 		PrefillBacklog:     &crledger.PrefillBacklog{},
 		Latency:            &crlatency.Table{},
 		AdmitCold:          func(*crplace.Endpoint, float64) bool { return false },
+		Limit:              func(*crplace.Endpoint) (float64, time.Duration) { return crlimit.None, 0 },
+		TakeLimited:        func(*crplace.Endpoint) {},
 		DomainOutOfService: func(domain string) bool { return w.out[domain] },
 	}
 	for i := range n {
--- a/core/crretry/returns.go
+++ b/core/crretry/returns.go
@@ -51,6 +51,20 @@
 	// step is the mean time between two places that become free for this instance. Of all
 	// places that become free, each instance gets an equal share.
 	step := holdTime * time.Duration(max(instances, 1)) / time.Duration(max(inFlight, 1))
+	return r.schedule(now, step, random)
+}
+
+// AfterAtRate returns the delay after which a request may return that was refused because the
+// endpoints limit their request rates to perSecond, from all instances together. The other
+// parameters are those of After.
+func (r *ReturnScheduler) AfterAtRate(now time.Time, perSecond float64, instances int, random float64) time.Duration {
+	step := min(float64(max(instances, 1))/perSecond, MaxReturnDelay.Seconds())
+	return r.schedule(now, time.Duration(step*float64(time.Second)), random)
+}
+
+// schedule schedules the return of a request by the mean time between two requests that this
+// instance can serve.
+func (r *ReturnScheduler) schedule(now time.Time, step time.Duration, random float64) time.Duration {
 	if r.lastReturn.Before(now) {
 		r.lastReturn = now
 	}
