Play limits of servers in the stand-in and the soak, and keep them in checkpoints

The stand-in's server names a limit when told to, and the soak's new step server-limit lets one do so for eight seconds and more.

Checkpoints of contexts contained the limits with their ages, so that one was written every two seconds while a limit was known. They now ignore the ages, as with the evidence of crashes, and one with limits alone is taken over at a start (TestLimitsAreKept).

--- a/io/crforward/hints_test.go
+++ b/io/crforward/hints_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -81,6 +82,46 @@
 	}, pause, good)
 }
 
+// TestLimitedEndpoint checks that an endpoint gets no more requests than the limit in its
+// answers allows until an answer names none, and that a caller who is refused learns when to
+// return.
+func TestLimitedEndpoint(t *testing.T) {
+	const perSecond, length = 2, 5 * time.Second
+	var unlimited atomic.Bool
+	limited := func(w http.ResponseWriter, q *http.Request) {
+		if !unlimited.Load() {
+			w.Header().Set("Limit", strconv.Itoa(perSecond))
+		}
+		good(w, q)
+	}
+	runFixture(t, func(r *fixture) {
+		send := func(length time.Duration) (refused int) {
+			for begin := time.Now(); time.Since(begin) < length; time.Sleep(50 * time.Millisecond) {
+				r.state.Evidence.Read(r.state.Elapsed())
+				got, header := r.send(r.t.Context(), "/book/", "")
+				if got.Status == http.StatusOK {
+					continue
+				}
+				refused++
+				wait, err := time.ParseDuration(header.Get("Retry-After") + "s")
+				if got.Status != http.StatusServiceUnavailable || err != nil || wait <= 0 || wait > 3*time.Second {
+					t.Fatalf("status %d with Retry-After %q", got.Status, header.Get("Retry-After"))
+				}
+			}
+			return refused
+		}
+		send(length)
+		if got, most := r.arrived(), int(perSecond*length.Seconds())+2; got > most || got < most/2 {
+			t.Errorf("%d requests arrived in %v, want %d at most and at least half of it", got, length, most)
+		}
+		unlimited.Store(true)
+		send(time.Second)
+		if refused := send(time.Second); refused > 0 {
+			t.Errorf("%d requests were refused after the limit had ended", refused)
+		}
+	}, limited)
+}
+
 // arrivalsWithPrefix returns the number of arrivals that begin with the prefix.
 func (r *fixture) arrivalsWithPrefix(prefix string) int {
 	r.mu.Lock()
--- a/io/crwatch/checkpoint.go
+++ b/io/crwatch/checkpoint.go
@@ -20,7 +20,7 @@
 	// checkpointRate bounds the checkpoints, in bytes per second.
 	checkpointRate = 5000
 	// agedCheckpointPause is the pause between two checkpoints that differ only by the age of
-	// the evidence of crashes.
+	// the evidence of crashes and of the limits of endpoints.
 	agedCheckpointPause = time.Minute
 	// loadAttempts is the number of attempts of a starting instance to read a checkpoint.
 	loadAttempts = 4
@@ -54,7 +54,7 @@
 			w.Log.Error("watch: contexts can't be encoded", zap.Error(err))
 			continue
 		}
-		aged := m.CrashEvidence != nil && time.Since(writtenAt) >= agedCheckpointPause
+		aged := (m.CrashEvidence != nil || m.Limits != nil) && time.Since(writtenAt) >= agedCheckpointPause
 		if len(data) == 0 || bytes.Equal(ageless, written) && !aged {
 			continue
 		}
@@ -79,6 +79,9 @@
 	for _, a := range m.GetCrashEvidence().GetAnswers() {
 		a.AgeMs = 0
 	}
+	if m.Limits != nil {
+		m.Limits.AgeMs = nil
+	}
 	return m
 }
 
@@ -109,7 +112,7 @@
 		w.Log.Warn("watch: kept contexts are not readable", zap.Error(err))
 		return
 	}
-	if len(m.GetContexts()) == 0 && m.CrashEvidence == nil {
+	if len(m.GetContexts()) == 0 && m.CrashEvidence == nil && m.Limits == nil {
 		return
 	}
 	w.State.ApplyContexts(time.Now(), m)
--- a/io/crwatch/checkpoint_test.go
+++ b/io/crwatch/checkpoint_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
 	pb "crocusrack/schema/crrouter"
 )
 
@@ -30,3 +31,24 @@
 		}
 	})
 }
+
+// TestLimitsAreKept checks the same for the limits of endpoints.
+func TestLimitsAreKept(t *testing.T) {
+	const maxSaves = 25
+	s := newStore("llm-1")
+	run(t, s, func(state *crgrant.State) {
+		state.ApplyContexts(time.Now(), &pb.Contexts{Limits: &pb.EndpointLimits{
+			Endpoints: []uint64{uint64(crplace.KeyOf("llm-1", 0))}, PerSecond: []float64{0.5}, AgeMs: []uint64{20},
+		}})
+		time.Sleep(10 * time.Minute)
+	})
+	if s.saves == 0 || s.saves > maxSaves {
+		t.Errorf("%d checkpoints in 10 min, want some but not over %d", s.saves, maxSaves)
+	}
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(time.Minute)
+		if state.Contexts(time.Now()).GetLimits() == nil {
+			t.Error("a starting instance doesn't take over the limits")
+		}
+	})
+}
--- a/stand/crsoak/plan.go
+++ b/stand/crsoak/plan.go
@@ -21,6 +21,7 @@
 	ServerCrash   Action = "server-crash"
 	ServerDrain   Action = "server-drain"
 	ServerTrouble Action = "server-trouble"
+	ServerLimit   Action = "server-limit"
 	LinkDelay     Action = "link-delay"
 	LinkSilence   Action = "link-silence"
 	LinkOneWay    Action = "link-one-way"
@@ -38,7 +39,7 @@
 
 var actions = []Action{
 	DaemonKill, DaemonPause, DaemonStop, DaemonReload, DaemonKillAll,
-	ServerCrash, ServerDrain, ServerTrouble,
+	ServerCrash, ServerDrain, ServerTrouble, ServerLimit,
 	LinkDelay, LinkSilence, LinkOneWay, LinkReset,
 	StoreDown, StoreReset, StoreLost, StoreForget, StoreSilence, StoreCutOne,
 	RoutingChange, KeyTaken, RoutingStorm,
--- a/stand/crsoak/report.go
+++ b/stand/crsoak/report.go
@@ -16,6 +16,8 @@
 	// Calls is how many requests callers sent, Served how many got their whole
 	// answer, Refused how many were told that they have not run.
 	Calls, Served, Refused int
+	// LimitWindows is how many spans of a server's limit were judged.
+	LimitWindows int
 	// Broken names each broken promise with the request that shows it.
 	Broken []string
 	// Rollout says what became of the roll-out; empty without one.
@@ -27,7 +29,7 @@
 
 // String returns the report in a line, and a line for each broken promise.
 func (r Report) String() string {
-	line := fmt.Sprintf("seed %d: %d calls, %d served, %d refused, %d promises broken", r.Seed, r.Calls, r.Served, r.Refused, len(r.Broken))
+	line := fmt.Sprintf("seed %d: %d calls, %d served, %d refused, %d spans of limits judged, %d promises broken", r.Seed, r.Calls, r.Served, r.Refused, r.LimitWindows, len(r.Broken))
 	lines := []string{line}
 	if r.Rollout != "" {
 		lines = append(lines, r.Rollout)
--- a/stand/crsoak/soak.go
+++ b/stand/crsoak/soak.go
@@ -151,6 +151,7 @@
 			w.judge(&report, c)
 		}
 	}
+	w.judgeLimits(&report)
 	if w.rollout != nil {
 		w.judgeRollout(&report, o.Calm && o.Recovery)
 	}
@@ -208,6 +209,7 @@
 
 // do carries out one step, and undoes it.
 func (w *world) do(s Step) error {
+	defer w.notePlayed(s, time.Now())
 	d := w.daemons[s.Target%len(w.daemons)]
 	server := w.servers[s.Target%len(w.servers)]
 	switch s.Action {
@@ -229,6 +231,8 @@
 		return server.drain(w)
 	case ServerTrouble:
 		return server.misbehave(s)
+	case ServerLimit:
+		server.limit(w, s)
 	case LinkDelay, LinkSilence, LinkOneWay, LinkReset:
 		server.disturb(s)
 	case StoreDown, StoreReset, StoreLost:
@@ -295,6 +299,23 @@
 	return nil
 }
 
+// limit lets the server name a limit for a while, which is below what it usually gets.
+func (s *server) limit(w *world, step Step) {
+	s.limited.Lock()
+	defer s.limited.Unlock()
+	s.mu.Lock()
+	served := s.served
+	s.mu.Unlock()
+	p := limitPeriod{server: served.ID, perSecond: 0.2 * float64(1+step.Target%20), from: time.Now()}
+	served.SetLimit(p.perSecond)
+	time.Sleep(2*step.For + limitLearned + limitWindow)
+	served.SetLimit(0)
+	p.to = time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limits = append(w.limits, p)
+}
+
 // disturb disturbs the server's link for a while.
 func (s *server) disturb(step Step) {
 	s.mu.Lock()
--- a/stand/crsoak/world.go
+++ b/stand/crsoak/world.go
@@ -28,6 +28,12 @@
 	version int
 	// rollout is the roll-out that was played; nil without one.
 	rollout *played
+	// previous is true if daemons of an earlier release run.
+	previous bool
+	// limits are the times in which servers named limits, and disturbed those of faults that
+	// excuse daemons from keeping to them.
+	limits    []limitPeriod
+	disturbed []span
 	// taken is when the store acknowledged that a key was taken away.
 	taken map[string]time.Time
 }
@@ -41,6 +47,9 @@
 	trouble crstandin.Trouble
 	link    *proxy
 
+	// limited is held while the server names a limit.
+	limited sync.Mutex
+
 	mu     sync.Mutex
 	random *rand.Rand
 	served *crstandin.Server
@@ -74,7 +83,7 @@
 
 // build starts the store and the servers, and prepares the daemons.
 func build(o Options) (*world, error) {
-	w := &world{taken: make(map[string]time.Time)}
+	w := &world{taken: make(map[string]time.Time), previous: o.Previous != ""}
 	l, err := listen()
 	if err != nil {
 		return nil, err
