Order what is read of the store by era and revision

Cause: endpoints, failure domains out of service and roll-outs were ordered by the store's revision alone. After a restore what the watchers read counted as older and was dropped; peers' older data with higher revisions counted as newer, and their fresh evidence as proof that nothing had changed. A watch could also go on in the new history from a revision given out again, and miss what was written before it. The class: an order that an outside system gives out is taken to grow for ever.

Change: a position is an era and a revision; every answer names its era. A watch that finds another era lists again. Messages carry eras. Instances of earlier releases name none: they are believed as before until the store comes back, not as evidence, and don't count as watchers among those that know eras, so that two of these watch.

Formats stay readable both ways, by the two releases before.

--- a/core/crgrant/change.go
+++ b/core/crgrant/change.go
@@ -31,9 +31,9 @@
 // complete list must be fetched.
 var ErrIncomplete = errors.New("applying the endpoint changes doesn't result in the sender's endpoints")
 
-// change describes what one revision of the endpoints changed.
+// change describes what changed between two positions of the endpoints.
 type change struct {
-	previous, revision uint64
+	previous, at Position
 	// ids are the endpoints that were added, modified or removed.
 	ids []string
 }
@@ -43,8 +43,8 @@
 
 // add appends the differences between two lists of endpoints and drops the oldest changes
 // beyond maxChanges.
-func (c *changes) add(previous, revision uint64, old, list []*crplace.Endpoint) {
-	*c = append(*c, change{previous, revision, changedIDs(old, list)})
+func (c *changes) add(previous, at Position, old, list []*crplace.Endpoint) {
+	*c = append(*c, change{previous, at, changedIDs(old, list)})
 	if extra := len(*c) - maxChanges; extra > 0 {
 		*c = slices.Delete(*c, 0, extra)
 	}
@@ -79,15 +79,15 @@
 	return x == *b && a.ColdUntil.Sub(b.ColdUntil).Abs() <= ColdTolerance
 }
 
-// since returns the endpoints that changed after a revision. It returns false if the
+// since returns the endpoints that changed after a position. It returns false if the
 // stored changes don't reach back that far.
-func (c changes) since(revision uint64) (map[string]bool, bool) {
-	if len(c) == 0 || revision < c[0].previous {
+func (c changes) since(at Position) (map[string]bool, bool) {
+	if len(c) == 0 || at < c[0].previous {
 		return nil, false
 	}
 	ids := make(map[string]bool)
 	for _, o := range c {
-		if o.revision > revision {
+		if o.at > at {
 			for _, id := range o.ids {
 				ids[id] = true
 			}
@@ -106,11 +106,11 @@
 	return sum
 }
 
-// endpointsSince returns the message for an instance that has an earlier revision of the
+// endpointsSince returns the message for an instance that has an earlier position of the
 // endpoints. It contains only the changes since then if they are known and few enough, and
 // the complete list otherwise.
-func (s *State) endpointsSince(now time.Time, have uint64) *pb.Endpoints {
-	m := &pb.Endpoints{Revision: s.endpointsRevision}
+func (s *State) endpointsSince(now time.Time, have Position) *pb.Endpoints {
+	m := &pb.Endpoints{Revision: s.endpointsPosition.Revision(), Era: s.endpointsPosition.Era()}
 	ids, known := s.changes.since(have)
 	if known && have > 0 && float64(len(ids)) <= maxPartialShare*float64(len(s.endpoints)) {
 		m.Partial, m.Fingerprint = true, s.endpointsFingerprint
--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -126,6 +126,7 @@
 		}
 		members = append(members, &pb.Member{
 			Peer: peerProto(i), Run: status.Run, Ready: status.Ready, Leaving: status.Leaving, StoreLost: status.StoreLost,
+			KnowsEras: !status.IgnoresEras,
 		})
 		m.SilentMs = append(m.SilentMs, uint32(now.Sub(heard).Milliseconds()))
 	}
@@ -173,7 +174,7 @@
 	for _, m := range members {
 		p := m.GetPeer()
 		hash = crhash.Mix(hash, crhash.Of(fmt.Sprint(p.GetName(), " ", p.GetFront(), " ", p.GetPeer(), " ",
-			m.GetRun(), " ", m.GetReady(), " ", m.GetLeaving(), " ", m.GetStoreLost())))
+			m.GetRun(), " ", m.GetReady(), " ", m.GetLeaving(), " ", m.GetStoreLost(), " ", m.GetKnowsEras())))
 	}
 	return hash
 }
@@ -245,6 +246,7 @@
 		silent := time.Duration(m.GetSilentMs()[n]) * time.Millisecond
 		s.roster.Relayed(now, i, crliveness.Status{
 			Run: member.GetRun(), Ready: member.GetReady(), Leaving: member.GetLeaving(), StoreLost: member.GetStoreLost(),
+			IgnoresEras: !member.GetKnowsEras(),
 		}, now.Add(-silent))
 		named[i.Name] = true
 	}
--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -37,6 +37,8 @@
 	// pass returns a message as it arrives, or nil if it is lost. It may be nil, and may
 	// change the message.
 	pass func(from, to string, m *pb.Report) *pb.Report
+	// behind is called when an instance hears that another has newer data. It may be nil.
+	behind func(name, other string)
 }
 
 func newFleet(t testing.TB, size int) *fleet {
@@ -92,6 +94,9 @@
 	for _, d := range h.Forward {
 		f.deliver(to, f.name(d.To), d.Report)
 	}
+	if h.Behind && f.behind != nil && f.nodes[h.From.Name] != nil {
+		f.behind(to, h.From.Name)
+	}
 	if h.Answer {
 		reply := receiver.Compose(f.now, from)
 		if h.Introduce {
--- a/core/crgrant/dump.go
+++ b/core/crgrant/dump.go
@@ -15,6 +15,7 @@
 	RoutingVersion    uint64         `json:"routing-version"`
 	RoutingAge        string         `json:"routing-age"`
 	EndpointsRevision uint64         `json:"endpoints-revision"`
+	StoreEra          uint64         `json:"store-era"`
 	Out               []string       `json:"failure-domains-out"`
 	Alive             []string       `json:"instances-alive"`
 	Watches           bool           `json:"watches-the-store"`
@@ -67,7 +68,8 @@
 	defer s.mu.Unlock()
 	d := Dump{
 		Instance:          s.Self.Name,
-		EndpointsRevision: s.endpointsRevision,
+		EndpointsRevision: s.endpointsPosition.Revision(),
+		StoreEra:          s.endpointsPosition.Era(),
 		Watches:           s.roster.Watches(now),
 		RoutingAge:        "unknown",
 	}
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -95,15 +95,15 @@
 	trials map[crquarantine.Part]time.Time
 	// differences holds the last differences of quarantines by the sender of the message.
 	differences map[string]difference
-	// rolloutsRevision is the revision of the orders in rollouts.
-	rolloutsRevision uint64
+	// rolloutsPosition is the position of the orders in rollouts.
+	rolloutsPosition Position
 	retryBudgets     map[string]*crretry.Budget
 	returns          map[string]*crretry.ReturnScheduler
 	routingTable     *crroute.Table
 	routing          *pb.Routing
 
 	endpoints         []*crplace.Endpoint
-	endpointsRevision uint64
+	endpointsPosition Position
 	// endpointsFingerprint is the fingerprint of endpoints.
 	endpointsFingerprint uint64
 	// keysByShortKey maps the shortened keys used in digests to endpoint keys.
@@ -111,7 +111,11 @@
 	changes        changes
 	// outs holds the failure domains that are out of service.
 	outs         map[string]bool
-	outsRevision uint64
+	outsPosition Position
+	// restoredEra is the last era in which the store came back from a copy while this instance
+	// ran, or zero, and restoredAt is when this instance learned of it.
+	restoredEra uint64
+	restoredAt  time.Time
 	// firstListed is when each endpoint was first listed here, for roll-outs.
 	firstListed map[string]time.Time
 
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -198,10 +198,14 @@
 		Ready:             s.roster.Status.Ready,
 		Leaving:           s.roster.Status.Leaving,
 		StoreLost:         s.roster.Status.StoreLost,
+		KnowsEras:         true,
 		Stamp:             durationpb.New(elapsed),
-		EndpointsRevision: s.endpointsRevision,
-		OutsRevision:      s.outsRevision,
-		RolloutsRevision:  s.rolloutsRevision,
+		EndpointsRevision: s.endpointsPosition.Revision(),
+		EndpointsEra:      s.endpointsPosition.Era(),
+		OutsRevision:      s.outsPosition.Revision(),
+		OutsEra:           s.outsPosition.Era(),
+		RolloutsRevision:  s.rolloutsPosition.Revision(),
+		RolloutsEra:       s.rolloutsPosition.Era(),
 		Quarantines:       s.quarantinesProto(now),
 	}
 	if s.routingTable != nil {
@@ -349,11 +353,12 @@
 // false for a report that is older than one already received.
 func (s *State) recordReport(now time.Time, from crliveness.Instance, m *pb.Report) bool {
 	fresh := s.roster.Report(now, from, crliveness.Status{
-		Run:       m.GetRun(),
-		Sequence:  m.GetSequence(),
-		Ready:     m.GetReady(),
-		Leaving:   m.GetLeaving(),
-		StoreLost: m.GetStoreLost(),
+		Run:         m.GetRun(),
+		Sequence:    m.GetSequence(),
+		Ready:       m.GetReady(),
+		Leaving:     m.GetLeaving(),
+		StoreLost:   m.GetStoreLost(),
+		IgnoresEras: !m.GetKnowsEras(),
 	})
 	if fresh {
 		s.applyEcho(from.Name, m)
@@ -377,10 +382,10 @@
 	if m.RoutingAge != nil && s.routingTable != nil && m.GetRoutingVersion() <= s.routingTable.Version {
 		s.Evidence.Heard(sent, m.GetRoutingAge().AsDuration())
 	}
-	if m.EndpointsAge != nil && m.GetEndpointsRevision() <= s.endpointsRevision {
+	if m.EndpointsAge != nil && s.isEvidence(m.GetEndpointsEra(), m.GetEndpointsRevision(), s.endpointsPosition) {
 		s.EndpointsEvidence.Heard(sent, m.GetEndpointsAge().AsDuration())
 	}
-	if m.OutsAge != nil && m.GetOutsRevision() <= s.outsRevision {
+	if m.OutsAge != nil && s.isEvidence(m.GetOutsEra(), m.GetOutsRevision(), s.outsPosition) {
 		s.OutOfServiceEvidence.Heard(sent, m.GetOutsAge().AsDuration())
 	}
 }
@@ -425,22 +430,25 @@
 		version = s.routingTable.Version
 	}
 	return m.GetRoutingVersion() > version ||
-		m.GetEndpointsRevision() > s.endpointsRevision ||
-		m.GetOutsRevision() > s.outsRevision ||
-		m.GetRolloutsRevision() > s.rolloutsRevision
+		s.positionFrom(m.GetEndpointsEra(), m.GetEndpointsRevision(), s.endpointsPosition) > s.endpointsPosition ||
+		s.positionFrom(m.GetOutsEra(), m.GetOutsRevision(), s.outsPosition) > s.outsPosition ||
+		s.positionFrom(m.GetRolloutsEra(), m.GetRolloutsRevision(), s.rolloutsPosition) > s.rolloutsPosition
 }
 
-// Versions are the version of the routing, and the revisions of the endpoints, of the
+// Versions are the version of the routing, and the positions of the endpoints, of the
 // failure domains out of service and of the roll-outs, that an instance has. Zero means
 // none.
-type Versions struct{ Routing, Endpoints, Outs, Rollouts uint64 }
+type Versions struct {
+	Routing                   uint64
+	Endpoints, Outs, Rollouts Position
+}
 
 // Versions returns the versions that this instance has.
 func (s *State) Versions() Versions {
 	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := Versions{Endpoints: s.endpointsRevision, Outs: s.outsRevision, Rollouts: s.rolloutsRevision}
+	v := Versions{Endpoints: s.endpointsPosition, Outs: s.outsPosition, Rollouts: s.rolloutsPosition}
 	if s.routingTable != nil {
 		v.Routing = s.routingTable.Version
 	}
@@ -455,16 +463,16 @@
 	if s.routingTable != nil && s.routingTable.Version > have.Routing {
 		m.Routing = s.routing
 	}
-	if s.endpointsRevision > have.Endpoints {
-		m.Endpoints = s.endpointsSince(now, have.Endpoints)
+	if base := s.snapshotBase(have.Endpoints, s.endpointsPosition); s.endpointsPosition > base {
+		m.Endpoints = s.endpointsSince(now, base)
 	}
-	if s.outsRevision > have.Outs {
-		m.Outs = &pb.Outs{Revision: s.outsRevision}
+	if s.outsPosition > s.snapshotBase(have.Outs, s.outsPosition) {
+		m.Outs = &pb.Outs{Revision: s.outsPosition.Revision(), Era: s.outsPosition.Era()}
 		for d := range s.outs {
 			m.Outs.FailureDomains = append(m.Outs.FailureDomains, d)
 		}
 	}
-	if s.rolloutsRevision > have.Rollouts {
+	if s.rolloutsPosition > s.snapshotBase(have.Rollouts, s.rolloutsPosition) {
 		m.Rollouts = s.rolloutsProto()
 	}
 	return m
@@ -482,10 +490,10 @@
 		if err != nil {
 			return err
 		}
-		s.SetEndpoints(now, m.GetEndpoints().GetRevision(), list)
+		s.SetEndpoints(now, s.snapshotPosition(m.GetEndpoints().GetEra(), m.GetEndpoints().GetRevision(), &s.endpointsPosition), list)
 	}
 	if m.Outs != nil {
-		s.SetOutOfService(m.GetOuts().GetRevision(), m.GetOuts().GetFailureDomains())
+		s.SetOutOfService(now, s.snapshotPosition(m.GetOuts().GetEra(), m.GetOuts().GetRevision(), &s.outsPosition), m.GetOuts().GetFailureDomains())
 	}
 	if m.Rollouts != nil {
 		s.SetRollouts(now, m.GetRollouts())
--- a/core/crgrant/rollout.go
+++ b/core/crgrant/rollout.go
@@ -103,15 +103,17 @@
 	return ok && age < oldest
 }
 
-// SetRollouts replaces the operators' orders if revision is newer than the current one. It
+// SetRollouts replaces the operators' orders if their position is after the current one. It
 // reports whether it did.
 func (s *State) SetRollouts(now time.Time, m *pb.Rollouts) bool {
 	s.lock(now)
 	defer s.mu.Unlock()
-	if m.GetRevision() <= s.rolloutsRevision {
+	at := s.positionFrom(m.GetEra(), m.GetRevision(), s.rolloutsPosition)
+	if at <= s.rolloutsPosition {
 		return false
 	}
-	s.rolloutsRevision = m.GetRevision()
+	s.entersEra(now, s.rolloutsPosition, at)
+	s.rolloutsPosition = at
 	var list []crrollout.Order
 	for _, r := range m.GetRollouts() {
 		list = append(list, orderFromProto(r))
@@ -176,7 +178,7 @@
 
 // rolloutsProto returns the orders as a snapshot carries them.
 func (s *State) rolloutsProto() *pb.Rollouts {
-	m := &pb.Rollouts{Revision: s.rolloutsRevision}
+	m := &pb.Rollouts{Revision: s.rolloutsPosition.Revision(), Era: s.rolloutsPosition.Era()}
 	for _, o := range s.rollouts.Orders() {
 		m.Rollouts = append(m.Rollouts, &pb.Rollout{
 			Id: o.ID, Service: o.Service, Target: o.Target, Duration: durationpb.New(o.Duration),
--- a/core/crgrant/state.go
+++ b/core/crgrant/state.go
@@ -25,16 +25,20 @@
 	return true
 }
 
-// SetEndpoints replaces the endpoints if revision is newer than the current one. It
+// SetEndpoints replaces the endpoints if their position is after the current one. It
 // reports whether it did.
-func (s *State) SetEndpoints(now time.Time, revision uint64, list []*crplace.Endpoint) bool {
+func (s *State) SetEndpoints(now time.Time, at Position, list []*crplace.Endpoint) bool {
 	s.lock(now)
 	defer s.mu.Unlock()
-	if revision <= s.endpointsRevision {
+	if at <= s.endpointsPosition {
 		return false
 	}
-	s.changes.add(s.endpointsRevision, revision, s.endpoints, list)
-	s.endpoints, s.endpointsRevision, s.endpointsFingerprint = list, revision, fingerprint(list)
+	if s.entersEra(now, s.endpointsPosition, at) {
+		s.changes = nil
+	} else {
+		s.changes.add(s.endpointsPosition, at, s.endpoints, list)
+	}
+	s.endpoints, s.endpointsPosition, s.endpointsFingerprint = list, at, fingerprint(list)
 	s.placer.SetEndpoints(list)
 	s.setRolloutEndpoints(list)
 	s.keysByShortKey = make(map[uint32]crledger.Key, len(list))
@@ -51,16 +55,16 @@
 	return true
 }
 
-// SetOutOfService replaces the failure domains that are out of service if revision is
-// newer than the current one. It reports whether it did.
-func (s *State) SetOutOfService(revision uint64, domains []string) bool {
-	s.init()
-	s.mu.Lock()
+// SetOutOfService replaces the failure domains that are out of service if their position is
+// after the current one. It reports whether it did.
+func (s *State) SetOutOfService(now time.Time, at Position, domains []string) bool {
+	s.lock(now)
 	defer s.mu.Unlock()
-	if revision <= s.outsRevision {
+	if at <= s.outsPosition {
 		return false
 	}
-	s.outs, s.outsRevision = make(map[string]bool), revision
+	s.entersEra(now, s.outsPosition, at)
+	s.outs, s.outsPosition = make(map[string]bool), at
 	for _, d := range domains {
 		s.outs[d] = true
 	}
--- a/core/crliveness/roster.go
+++ b/core/crliveness/roster.go
@@ -80,6 +80,9 @@
 	Leaving  bool
 	// StoreLost is true while the instance can't reach the store.
 	StoreLost bool
+	// IgnoresEras is true if the instance doesn't notice that the store came back from a
+	// copy, as earlier releases.
+	IgnoresEras bool
 }
 
 // entry is what the roster knows about another instance.
@@ -379,7 +382,7 @@
 	consider(candidate{r.Self, r.Status.StoreLost || r.Status.Leaving, watchScore(r.Self)})
 	for _, e := range r.peers {
 		if r.alive(now, e) {
-			consider(candidate{e.Instance, e.StoreLost || e.Leaving, e.watchScore})
+			consider(candidate{e.Instance, e.StoreLost || e.Leaving || e.IgnoresEras, e.watchScore})
 		}
 	}
 	return first, found
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -271,7 +271,7 @@
 	have := l.State.Versions().Endpoints
 	err := l.adopt(ctx, from, have)
 	if errors.Is(err, crgrant.ErrIncomplete) {
-		l.Log.Info("link: fetching all endpoints", zap.String("instance", from.Name), zap.Uint64("endpoints-revision", have), zap.Error(err))
+		l.Log.Info("link: fetching all endpoints", zap.String("instance", from.Name), zap.Uint64("endpoints-revision", have.Revision()), zap.Error(err))
 		err = l.adopt(ctx, from, 0)
 	}
 	if err != nil {
@@ -280,14 +280,14 @@
 	}
 	v := l.State.Versions()
 	l.Log.Info("link: adopted a peer's snapshot", zap.String("instance", from.Name),
-		zap.Uint64("routing-version", v.Routing), zap.Uint64("endpoints-revision", v.Endpoints), zap.Uint64("outs-revision", v.Outs),
-		zap.Uint64("rollouts-revision", v.Rollouts))
+		zap.Uint64("routing-version", v.Routing), zap.Uint64("endpoints-revision", v.Endpoints.Revision()), zap.Uint64("outs-revision", v.Outs.Revision()),
+		zap.Uint64("rollouts-revision", v.Rollouts.Revision()), zap.Uint64("store-era", v.Endpoints.Era()))
 	l.Adopted(from.Name)
 }
 
 // adopt fetches and adopts what is newer at a peer than the routing and outages here,
-// and than the given revision of the endpoints. Revision zero fetches all endpoints.
-func (l *Link) adopt(ctx context.Context, from crliveness.Instance, endpoints uint64) error {
+// and than the given position of the endpoints. Zero fetches all endpoints.
+func (l *Link) adopt(ctx context.Context, from crliveness.Instance, endpoints crgrant.Position) error {
 	m, err := l.getSnapshot(ctx, from, endpoints, false)
 	if err != nil {
 		return err
@@ -317,11 +317,11 @@
 }
 
 // getSnapshot requests from a peer what is newer than the routing and outages here and
-// than the given revision of the endpoints, and the endpoints' contexts if wanted.
-func (l *Link) getSnapshot(ctx context.Context, from crliveness.Instance, endpoints uint64, contexts bool) (*pb.Snapshot, error) {
+// than the given position of the endpoints, and the endpoints' contexts if wanted.
+func (l *Link) getSnapshot(ctx context.Context, from crliveness.Instance, endpoints crgrant.Position, contexts bool) (*pb.Snapshot, error) {
 	v := l.State.Versions()
-	url := fmt.Sprintf("http://%s%s?routing=%d&endpoints=%d&outs=%d&rollouts=%d&contexts=%t",
-		from.Peer, snapshotPath, v.Routing, endpoints, v.Outs, v.Rollouts, contexts)
+	v.Endpoints = endpoints
+	url := fmt.Sprintf("http://%s%s?%s&contexts=%t", from.Peer, snapshotPath, versionsQuery(v), contexts)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
--- a/io/crlink/snapshot.go
+++ b/io/crlink/snapshot.go
@@ -36,22 +36,10 @@
 // Register adds the handler that serves snapshots to the server for peers.
 func (l *Link) Register(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, r *http.Request) {
-		var base crgrant.Versions
-		for _, p := range []struct {
-			name string
-			to   *uint64
-		}{{"routing", &base.Routing}, {"endpoints", &base.Endpoints}, {"outs", &base.Outs}, {"rollouts", &base.Rollouts}} {
-			text := r.FormValue(p.name)
-			if text == "" && p.name == "rollouts" {
-				// An instance of an earlier release knows no roll-outs.
-				continue
-			}
-			n, err := strconv.ParseUint(text, 10, 64)
-			if err != nil {
-				http.Error(w, fmt.Sprintf("%s is not a number: %q", p.name, text), http.StatusBadRequest)
-				return
-			}
-			*p.to = n
+		base, err := parseVersions(r)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
 		}
 		data, err := l.cachedSnapshot(base, r.FormValue("contexts") == "true")
 		if err != nil {
@@ -107,3 +95,36 @@
 	}
 	return b.Bytes(), nil
 }
+
+// versionsQuery returns the query by which an instance names the versions that it has.
+func versionsQuery(v crgrant.Versions) string {
+	return fmt.Sprintf("routing=%d&endpoints=%d&outs=%d&rollouts=%d&endpoints-era=%d&outs-era=%d&rollouts-era=%d",
+		v.Routing, v.Endpoints.Revision(), v.Outs.Revision(), v.Rollouts.Revision(), v.Endpoints.Era(), v.Outs.Era(), v.Rollouts.Era())
+}
+
+// parseVersions returns the versions that a query names. An instance of an earlier release
+// knows no eras, and one of an earlier release still no roll-outs.
+func parseVersions(r *http.Request) (crgrant.Versions, error) {
+	numbers := make(map[string]uint64)
+	for _, p := range []struct {
+		name     string
+		optional bool
+	}{
+		{"routing", false}, {"endpoints", false}, {"outs", false}, {"rollouts", true},
+		{"endpoints-era", true}, {"outs-era", true}, {"rollouts-era", true},
+	} {
+		text := r.FormValue(p.name)
+		if text == "" && p.optional {
+			continue
+		}
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			return crgrant.Versions{}, fmt.Errorf("%s is not a number: %q", p.name, text)
+		}
+		numbers[p.name] = n
+	}
+	position := func(name string) crgrant.Position { return crgrant.NewPosition(numbers[name+"-era"], numbers[name]) }
+	return crgrant.Versions{
+		Routing: numbers["routing"], Endpoints: position("endpoints"), Outs: position("outs"), Rollouts: position("rollouts"),
+	}, nil
+}
--- a/io/crwatch/kinds.go
+++ b/io/crwatch/kinds.go
@@ -24,7 +24,7 @@
 func (k *routingKind) reset()                 {}
 func (k *routingKind) probes() bool           { return true }
 
-func (k *routingKind) take(changes []Change[pb.Routing], at uint64) {
+func (k *routingKind) take(changes []Change[pb.Routing], at crgrant.Position) {
 	for _, c := range changes {
 		if c.Value == nil || c.Removed {
 			k.w.Log.Warn("watch: the routing can't be read; the earlier version stays in force", zap.String("name", c.Name))
@@ -32,7 +32,7 @@
 		}
 		if k.w.State.SetRouting(c.Value) {
 			k.w.Log.Info("watch: a version of the routing is in force", zap.Uint64("routing-version", c.Value.GetVersion()),
-				zap.Uint64("revision", at), zap.Int("routes", len(c.Value.GetRoutes())))
+				zap.Uint64("revision", at.Revision()), zap.Int("routes", len(c.Value.GetRoutes())))
 			k.w.Changed()
 		}
 	}
@@ -79,14 +79,14 @@
 	}
 }
 
-func (k *endpointsKind) take(changes []Change[pb.Endpoint], at uint64) {
+func (k *endpointsKind) take(changes []Change[pb.Endpoint], at crgrant.Position) {
 	now := time.Now()
 	for _, c := range changes {
 		switch {
 		case c.Removed:
 			k.missing[c.Name] = true
 		case c.Value == nil:
-			k.w.Log.Warn("watch: an endpoint's entry can't be read", zap.String("endpoint", c.Name), zap.Uint64("revision", at))
+			k.w.Log.Warn("watch: an endpoint's entry can't be read", zap.String("endpoint", c.Name), zap.Uint64("revision", at.Revision()))
 			delete(k.known, c.Name)
 			delete(k.missing, c.Name)
 		default:
@@ -97,7 +97,7 @@
 	}
 	// Entries may expire during an outage of the store. Missing endpoints are removed only
 	// after live ones have had the time to write their entries again.
-	if !k.w.outage.settling(now) {
+	if !k.w.settling(now) {
 		for name := range k.missing {
 			delete(k.known, name)
 			delete(k.coldUntil, name)
@@ -108,7 +108,7 @@
 }
 
 // apply puts the endpoints in force if any of them changed.
-func (k *endpointsKind) apply(now time.Time, at uint64) {
+func (k *endpointsKind) apply(now time.Time, at crgrant.Position) {
 	if k.applied != nil && maps.EqualFunc(k.applied, k.known, sameEndpoint) {
 		return
 	}
@@ -160,7 +160,7 @@
 	k.applied = nil
 }
 
-func (k *outsKind) take(changes []Change[struct{}], at uint64) {
+func (k *outsKind) take(changes []Change[struct{}], at crgrant.Position) {
 	for _, c := range changes {
 		if c.Removed {
 			delete(k.known, c.Name)
@@ -173,8 +173,8 @@
 	}
 	k.applied = maps.Clone(k.known)
 	domains := slices.Sorted(maps.Keys(k.known))
-	if k.w.State.SetOutOfService(at, domains) {
-		k.w.Log.Info("watch: the failure domains out of service changed", zap.Strings("failure-domains", domains), zap.Uint64("revision", at))
+	if k.w.State.SetOutOfService(time.Now(), at, domains) {
+		k.w.Log.Info("watch: the failure domains out of service changed", zap.Strings("failure-domains", domains), zap.Uint64("revision", at.Revision()))
 		k.w.Changed()
 	}
 }
--- a/io/crwatch/outage.go
+++ b/io/crwatch/outage.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"crocusrack/core/crgrant"
 	"crocusrack/core/crliveness"
 )
 
@@ -28,6 +29,8 @@
 	// no other instance saw end earlier.
 	last     time.Time
 	returned time.Time
+	// era is the newest era of the store that was read.
+	era uint64
 }
 
 // failed records a failed call.
@@ -67,6 +70,27 @@
 	w.Log.Info("watch: the store is back", zap.Duration("after-ms", time.Since(o.since)))
 }
 
+// noteEra records the era of a position that was read, and returns the position. An answer that
+// names no era belongs to the newest known one. If the store came back from a copy, live
+// endpoints have to write again what the copy lacks, as after an outage.
+func (w *Watcher) noteEra(at crgrant.Position) crgrant.Position {
+	o := &w.outage
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if at.Era() == 0 {
+		return crgrant.NewPosition(o.era, at.Revision())
+	}
+	if at.Era() > o.era {
+		known, _ := w.State.StoreEra()
+		if known > 0 && at.Era() > known {
+			o.returned = time.Now()
+			w.Log.Warn("watch: the store came back from a copy", zap.Uint64("store-era", at.Era()), zap.Uint64("revision", at.Revision()))
+		}
+		o.era = at.Era()
+	}
+	return at
+}
+
 // idle ends an outage whose last failure is older than outageMemory.
 func (w *Watcher) idle() {
 	o := &w.outage
@@ -86,9 +110,12 @@
 }
 
 // settling reports whether entries of live endpoints may be missing: during an outage and
-// for returnGrace after it.
-func (o *outage) settling(now time.Time) bool {
+// for returnGrace after it, or after the store came back from a copy.
+func (w *Watcher) settling(now time.Time) bool {
+	_, restored := w.State.StoreEra()
+	o := &w.outage
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.lost || o.failures > 0 || !o.returned.IsZero() && now.Sub(o.returned) < returnGrace
+	recent := func(t time.Time) bool { return !t.IsZero() && now.Sub(t) < returnGrace }
+	return o.lost || o.failures > 0 || recent(o.returned) || recent(restored)
 }
--- a/io/crwatch/rollout.go
+++ b/io/crwatch/rollout.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"crocusrack/core/crbackoff"
+	"crocusrack/core/crgrant"
 	"crocusrack/core/crrollout"
 	pb "crocusrack/schema/crrouter"
 )
@@ -29,7 +30,7 @@
 type Rollouts struct {
 	Feed[pb.Rollout]
 	// Peek lists the orders as they were some seconds ago, which costs less than List.
-	Peek func(ctx context.Context) ([]Change[pb.Rollout], uint64, error)
+	Peek func(ctx context.Context) ([]Change[pb.Rollout], crgrant.Position, error)
 	// Record writes the state of a roll-out, on the condition that its order is that of
 	// the record's revision. It returns the revision of the write.
 	Record func(ctx context.Context, r crrollout.Record) (uint64, error)
@@ -40,7 +41,7 @@
 // the store is asked rarely.
 func (w *Watcher) followRollouts(ctx context.Context) {
 	known := &orders{byService: make(map[string]*pb.Rollout)}
-	position, listed, peeked, failures := uint64(0), false, time.Time{}, 0
+	position, listed, peeked, failures := crgrant.Position(0), false, time.Time{}, 0
 	wasActive := false
 	retry := crbackoff.Backoff{Base: retryBase, Max: retryMax}
 	for ctx.Err() == nil {
@@ -78,7 +79,7 @@
 	}
 }
 
-func (w *Watcher) readRollouts(ctx context.Context, active, listed bool, position uint64) ([]Change[pb.Rollout], uint64, error) {
+func (w *Watcher) readRollouts(ctx context.Context, active, listed bool, position crgrant.Position) ([]Change[pb.Rollout], crgrant.Position, error) {
 	if active && listed {
 		ctx, cancel := context.WithTimeout(ctx, rolloutsWait+callTimeout)
 		defer cancel()
@@ -101,7 +102,7 @@
 
 // takeRollouts puts orders in force if any of them changed. One that can't be read changes
 // nothing. What a peek shows may be old, so that it doesn't end an order that is known.
-func (w *Watcher) takeRollouts(o *orders, changes []Change[pb.Rollout], at uint64, peek bool) {
+func (w *Watcher) takeRollouts(o *orders, changes []Change[pb.Rollout], at crgrant.Position, peek bool) {
 	known := o.byService
 	for _, c := range changes {
 		switch {
@@ -118,14 +119,14 @@
 		return
 	}
 	o.applied = maps.Clone(known)
-	m := &pb.Rollouts{Revision: at}
+	m := &pb.Rollouts{Revision: at.Revision(), Era: at.Era()}
 	for _, r := range known {
 		m.Rollouts = append(m.Rollouts, r)
 	}
 	if w.State.SetRollouts(time.Now(), m) {
 		for _, r := range known {
 			w.Log.Info("watch: an order to move a service is known", zap.String("service", r.GetService()), zap.String("target", r.GetTarget()),
-				zap.Duration("duration-ms", r.GetDuration().AsDuration()), zap.Stringer("state", r.GetState()), zap.Uint64("revision", at))
+				zap.Duration("duration-ms", r.GetDuration().AsDuration()), zap.Stringer("state", r.GetState()), zap.Uint64("revision", at.Revision()))
 		}
 		w.Changed()
 	}
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -68,10 +68,11 @@
 // Feed reads one kind of objects.
 type Feed[T any] struct {
 	// List returns all objects and the position in the store's history that they reflect.
-	List func(ctx context.Context) ([]Change[T], uint64, error)
+	List func(ctx context.Context) ([]Change[T], crgrant.Position, error)
 	// Watch waits at most the given time for changes after a position. It returns them with
-	// the position to continue from, or ErrGone if the history is no longer available.
-	Watch func(ctx context.Context, after uint64, wait time.Duration) ([]Change[T], uint64, error)
+	// the position to continue from, or ErrGone if the history is no longer available or
+	// another era has begun.
+	Watch func(ctx context.Context, after crgrant.Position, wait time.Duration) ([]Change[T], crgrant.Position, error)
 }
 
 // Watcher reads and watches the store. Set the exported fields before Run.
@@ -134,7 +135,7 @@
 	// reset prepares for the result of a list. take applies changes, which lead to the given
 	// position.
 	reset()
-	take(changes []Change[T], at uint64)
+	take(changes []Change[T], at crgrant.Position)
 	// evidence tracks how stale the known objects are.
 	evidence() *crfreshness.Evidence
 	// oldest is the age of the evidence from which on an instance reads the kind itself.
@@ -149,7 +150,7 @@
 // follow lists one kind of objects and then watches it, while this instance has to.
 func follow[T any](ctx context.Context, w *Watcher, k kind[T]) {
 	retry := crbackoff.Backoff{Base: retryBase, Max: retryMax, Jitter: func(d time.Duration) time.Duration { return d }}
-	position, listed, failures := uint64(0), false, 0
+	position, listed, failures := crgrant.Position(0), false, 0
 	for ctx.Err() == nil {
 		if !k.probes() && w.outage.isLost() {
 			// The loop condition checks whether the context has ended.
@@ -167,7 +168,7 @@
 		changes, at, err := call(ctx, k, position, listed)
 		switch {
 		case errors.Is(err, ErrGone):
-			w.Log.Info("watch: the store's history is gone, listing again", zap.Uint64("position", position))
+			w.Log.Info("watch: the store's history is gone, listing again", zap.Uint64("position", position.Revision()))
 			listed = false
 			continue
 		case err != nil:
@@ -178,6 +179,7 @@
 		}
 		failures = 0
 		w.succeeded()
+		at = w.noteEra(at)
 		if !listed {
 			k.reset()
 		}
@@ -190,7 +192,7 @@
 	}
 }
 
-func call[T any](ctx context.Context, k kind[T], position uint64, listed bool) ([]Change[T], uint64, error) {
+func call[T any](ctx context.Context, k kind[T], position crgrant.Position, listed bool) ([]Change[T], crgrant.Position, error) {
 	if !listed {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -255,9 +257,9 @@
 }
 
 // apply puts the endpoints of a revision in force.
-func (w *Watcher) apply(at uint64, list []*crplace.Endpoint) {
+func (w *Watcher) apply(at crgrant.Position, list []*crplace.Endpoint) {
 	if w.State.SetEndpoints(time.Now(), at, list) {
-		w.Log.Info("watch: the endpoints changed", zap.Uint64("revision", at), zap.Int("endpoints", len(list)))
+		w.Log.Info("watch: the endpoints changed", zap.Uint64("revision", at.Revision()), zap.Int("endpoints", len(list)))
 		w.Changed()
 	}
 }
