Write registrations and checkpoints again after a restore of the store

Cause: an instance that registered, and one that keeps the contexts of endpoints in the store, remembered that they had, and wrote nothing until something changed. When the store comes back from a copy both may be gone: instances that hear nobody then find no other, and a loss of all instances finds old contexts.

Change: both are written again when the era of the store rises.

Evidence: TestOwnObjectsAreWrittenAgain failed before (one registration and one checkpoint, and none after the store came back).

--- a/io/crwatch/checkpoint.go
+++ b/io/crwatch/checkpoint.go
@@ -41,9 +41,13 @@
 	w.loadContexts(ctx)
 	var written []byte
 	var writtenAt time.Time
+	era := uint64(0)
 	pause := checkpointPause
 	for crbackoff.Sleep(ctx, pause) == nil {
 		pause = checkpointPause
+		if w.cameBack(&era) {
+			written = nil
+		}
 		if !w.State.WritesStore(time.Now()) {
 			continue
 		}
--- a/io/crwatch/outage.go
+++ b/io/crwatch/outage.go
@@ -91,6 +91,14 @@
 	return at
 }
 
+// cameBack reports whether the store has come back from a copy since the last call with the
+// same variable. What this instance wrote to the store may then be gone.
+func (w *Watcher) cameBack(era *uint64) bool {
+	last := *era
+	*era, _ = w.State.StoreEra()
+	return last > 0 && *era > last
+}
+
 // idle ends an outage whose last failure is older than outageMemory.
 func (w *Watcher) idle() {
 	o := &w.outage
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -207,10 +207,13 @@
 // look up there, or if it hears no other instance. In the latter case it also reads the
 // registered instances.
 func (w *Watcher) announce(ctx context.Context) {
-	registered, failures := false, 0
+	registered, failures, era := false, 0, uint64(0)
 	pause := w.Patience
 	for crbackoff.Sleep(ctx, pause) == nil {
 		pause = lonelyPause
+		if w.cameBack(&era) {
+			registered = false
+		}
 		alone := len(w.State.Alive(time.Now())) == 0
 		if !registered && (alone || w.State.RegistersInStore(time.Now())) {
 			if registered = w.register(ctx); !registered {
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -32,8 +32,8 @@
 	routing   *pb.Routing
 	calls     int
 	kept      []byte
-	// saves counts the checkpoints.
-	saves int
+	// saves counts the checkpoints, and registrations the registered instances.
+	saves, registrations int
 }
 
 // callCount returns the number of calls so far.
@@ -100,7 +100,7 @@
 		}),
 		Outs:      feed(s, func() []crwatch.Change[struct{}] { return nil }),
 		Instances: feed(s, func() []crwatch.Change[crliveness.Instance] { return nil }),
-		Register:  func(context.Context, crliveness.Instance) error { return nil },
+		Register:  func(context.Context, crliveness.Instance) error { s.registrations++; return nil },
 		Contexts: crwatch.Checkpoint{
 			Save: func(_ context.Context, data []byte) error { s.kept, s.saves = data, s.saves+1; return nil },
 			Load: func(context.Context) ([]byte, error) { return s.kept, nil },
@@ -418,3 +418,20 @@
 		}
 	})
 }
+
+// TestOwnObjectsAreWrittenAgain guards against registrations and checkpoints that stay lost
+// after the store came back from a copy.
+func TestOwnObjectsAreWrittenAgain(t *testing.T) {
+	s := newStore("llm-1")
+	s.revision = crgrant.NewPosition(1, 100)
+	run(t, s, func(state *crgrant.State) {
+		state.ApplyContexts(time.Now(), &pb.Contexts{Contexts: []*pb.Context{{Chain: 1, Endpoint: uint64(crplace.KeyOf("llm-1", 0)), Tokens: 900}}})
+		time.Sleep(10 * time.Second)
+		registrations, saves := s.registrations, s.saves
+		s.restore(40, func() {})
+		time.Sleep(10 * time.Second)
+		if s.registrations == registrations || s.saves == saves {
+			t.Errorf("%d registrations and %d checkpoints before, %d and %d after the store came back", registrations, saves, s.registrations, s.saves)
+		}
+	})
+}
