Keep requests from endpoints that had left before a restore of the store

Cause: a copy may list endpoints that have left since as ready. When an era began, its entries were believed, so that an endpoint that drained, or whose entry was removed while it served on, got requests again until it or the store corrected the entry.

Change: endpoints that were draining when an era begins stay unused, as their leaving can't be taken back by an incarnation. Endpoints that had been removed are left out for 5 s, after which the store has removed the entries of those that are gone.

Evidence: TestLeftEndpointsStayAwayAfterRestore fails without it, and passes.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -21,6 +21,7 @@
 	"crocusrack/core/crliveness"
 	"crocusrack/core/crplace"
 	"crocusrack/core/crquarantine"
+	"crocusrack/core/crrecent"
 	"crocusrack/core/crretry"
 	"crocusrack/core/crrollout"
 	"crocusrack/core/crroute"
@@ -112,6 +113,8 @@
 	// outs holds the failure domains that are out of service.
 	outs         map[string]bool
 	outsPosition Position
+	// removed tells of endpoints that were listed whether they no longer are.
+	removed crrecent.Map[crledger.Key, bool]
 	// restoredEra is the last era in which the store came back from a copy while this instance
 	// ran, or zero, and restoredAt is when this instance learned of it.
 	restoredEra uint64
--- a/core/crgrant/restore_test.go
+++ b/core/crgrant/restore_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crplace"
+	"crocusrack/core/crroute"
 	pb "crocusrack/schema/crrouter"
 )
 
@@ -207,3 +210,40 @@
 		}
 	}
 }
+
+// TestLeftEndpointsStayAwayAfterRestore guards against requests to endpoints that had left, but
+// not yet in the copy that the store came back from.
+func TestLeftEndpointsStayAwayAfterRestore(t *testing.T) {
+	position := crgrant.NewPosition
+	sound, draining, gone, returned := endpoint(t, "sound"), endpoint(t, "draining"), endpoint(t, "gone"), endpoint(t, "returned")
+	leaves := *draining
+	leaves.Draining = true
+	n := newNode(1)
+	all := []*crplace.Endpoint{sound, draining, gone, returned}
+	n.SetEndpoints(start, position(1, 70), all)
+	n.SetEndpoints(start, position(1, 80), []*crplace.Endpoint{sound, &leaves})
+	n.SetEndpoints(start, position(1, 90), []*crplace.Endpoint{sound, &leaves, returned})
+	used := func(now time.Time) map[string]bool {
+		ids := make(map[string]bool)
+		for range 100 {
+			g := n.Grant(now, crgrant.Request{Service: crroute.Service{Name: "llm"}})
+			ids[g.Endpoint.ID] = true
+			g.Drop(now)
+		}
+		return ids
+	}
+	n.SetEndpoints(start, position(2, 40), all)
+	n.SetEndpoints(start.Add(time.Second), position(2, 41), all)
+	for _, c := range []struct {
+		after time.Duration
+		want  map[string]bool
+	}{
+		{time.Second, map[string]bool{"sound": true, "returned": true}},
+		{4 * time.Second, map[string]bool{"sound": true, "returned": true}},
+		{6 * time.Second, map[string]bool{"sound": true, "returned": true, "gone": true}},
+	} {
+		if diff := cmp.Diff(c.want, used(start.Add(c.after))); diff != "" {
+			t.Errorf("endpoints %v after the store came back (-want +got):\n%s", c.after, diff)
+		}
+	}
+}
--- a/core/crgrant/state.go
+++ b/core/crgrant/state.go
@@ -33,11 +33,13 @@
 	if at <= s.endpointsPosition {
 		return false
 	}
-	if s.entersEra(now, s.endpointsPosition, at) {
+	entersEra := s.entersEra(now, s.endpointsPosition, at)
+	if entersEra {
 		s.changes = nil
 	} else {
 		s.changes.add(s.endpointsPosition, at, s.endpoints, list)
 	}
+	left := s.endpoints
 	s.endpoints, s.endpointsPosition, s.endpointsFingerprint = list, at, fingerprint(list)
 	s.placer.SetEndpoints(list)
 	s.setRolloutEndpoints(list)
@@ -52,9 +54,53 @@
 	s.reads.Forget(present)
 	s.pace.Forget(present)
 	s.failures.Retain(present)
+	if entersEra {
+		s.distrust(now, left)
+	}
+	s.recordRemoved(left, present)
 	return true
 }
 
+const (
+	// staleEntryLifetime is the time after which the store has removed the entry of an endpoint
+	// that is gone but was listed in the copy that the store came back from. Endpoints that are
+	// silent for three of their intervals, of little over a second each, are removed.
+	staleEntryLifetime = 5 * time.Second
+	// minRemovedKept is the minimum number of removed endpoints that stay recorded.
+	minRemovedKept = 4096
+)
+
+// distrust keeps requests from endpoints that had left when the store came back from a copy in
+// which they hadn't. An endpoint that was draining doesn't return. One that was removed may do
+// so, since its entry may have expired while it couldn't reach the store.
+func (s *State) distrust(now time.Time, before []*crplace.Endpoint) {
+	for _, e := range before {
+		if e.Draining {
+			s.health.MarkLeaving(now, e.Key)
+		}
+	}
+	for _, e := range s.endpoints {
+		if removed, _ := s.removed.Get(e.Key); removed {
+			s.health.Pause(now, e.Key, staleEntryLifetime)
+		}
+	}
+}
+
+// recordRemoved records the endpoints that are no longer listed.
+func (s *State) recordRemoved(before []*crplace.Endpoint, present func(crledger.Key) bool) {
+	s.removed.Limit = max(minRemovedKept, len(before))
+	for _, e := range before {
+		if !present(e.Key) {
+			s.removed.Put(e.Key, true)
+		}
+	}
+	for _, e := range s.endpoints {
+		if removed, _ := s.removed.Get(e.Key); removed {
+			s.removed.Put(e.Key, false)
+		}
+	}
+}
+
 // SetOutOfService replaces the failure domains that are out of service if their position is
 // after the current one. It reports whether it did.
 func (s *State) SetOutOfService(now time.Time, at Position, domains []string) bool {
