Keep verdicts on versions over a restore of the store

Cause: an order to move a service, and the state that this system records of it, may be missing or older in the copy that the store comes back from. The recorded state was then never written again, so that a fleet that restarted would have tried a bad version again; an order that its operator wrote again has another creation, and counted as a new one.

Change: for 15 s after an instance learns of a restore, an order for the same version in the same time goes on with what is known, and a state that is recorded as an earlier one is recorded again.

Evidence: TestVerdictOutlivesRestore.

--- a/core/crgrant/rollout.go
+++ b/core/crgrant/rollout.go
@@ -112,7 +112,9 @@
 	if at <= s.rolloutsPosition {
 		return false
 	}
-	s.entersEra(now, s.rolloutsPosition, at)
+	if s.entersEra(now, s.rolloutsPosition, at) {
+		s.rollouts.StoreRestored(now)
+	}
 	s.rolloutsPosition = at
 	var list []crrollout.Order
 	for _, r := range m.GetRollouts() {
--- a/core/crgrant/rollout_test.go
+++ b/core/crgrant/rollout_test.go
@@ -271,3 +271,36 @@
 		})
 	}
 }
+
+// TestVerdictOutlivesRestore guards against a bad version that gets requests again, and against
+// recorded states that stay lost, after the store came back from a copy without them.
+func TestVerdictOutlivesRestore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// copied is what the store has of the order when it comes back.
+		copied *pb.Rollouts
+	}{
+		{"older state", order("v2", pb.RolloutState_ROLLOUT_STATE_RUNNING, 5)},
+		{"no order", &pb.Rollouts{Revision: 5}},
+	} {
+		n := movingNode(t, 1, "v1", "v2")
+		running := order("v2", pb.RolloutState_ROLLOUT_STATE_RUNNING, 5)
+		bad := order("v2", pb.RolloutState_ROLLOUT_STATE_ROLLED_BACK, 9)
+		for _, m := range []*pb.Rollouts{running, bad} {
+			m.Era = 1
+			n.SetRollouts(start, m)
+		}
+		c.copied.Era = 2
+		n.SetRollouts(start, c.copied)
+		again := order("v2", pb.RolloutState_ROLLOUT_STATE_UNSPECIFIED, 6)
+		again.Era, again.Rollouts[0].Id = 2, 8
+		n.SetRollouts(start.Add(2*time.Second), again)
+		if got := versionsOf(n, start.Add(3*time.Second), 0, 2000, nil); got["v2"] > 0 {
+			t.Errorf("%s: %d of 2000 requests go to the bad version", c.name, got["v2"])
+		}
+		records := n.RolloutRecords(start.Add(3 * time.Second))
+		if len(records) != 1 || records[0].State != crrollout.RolledBack || records[0].ID != 8 {
+			t.Errorf("%s: records %+v, want that the new order is rolled back", c.name, records)
+		}
+	}
+}
--- a/core/crrollout/rollout.go
+++ b/core/crrollout/rollout.go
@@ -144,6 +144,8 @@
 	// endpoints holds the listed endpoints.
 	endpoints map[crledger.Key]Endpoint
 	orders    map[string]Order
+	// restoredAt is when the store last came back from a copy.
+	restoredAt time.Time
 }
 
 // service is what is known of the versions of a service.
@@ -162,6 +164,8 @@
 	// places is the number of requests that the ready endpoints of the new version take
 	// side by side.
 	places int
+	// ended is the last order that is no longer listed.
+	ended *rollout
 	// current is the order in progress or ended last. It is nil without an order.
 	current *rollout
 }
@@ -174,6 +178,8 @@
 	// since is when the order was first seen by any instance that this one has heard of.
 	since time.Time
 	bad   bool
+	// unrecorded is true if the store has lost the state.
+	unrecorded bool
 	// why says what the finding that the version is bad rests on.
 	why string
 	// promotedAt is when the traffic began to move. It is zero before.
@@ -315,12 +321,29 @@
 		t.setOrder(now, o)
 	}
 	for _, s := range t.services {
-		if _, ok := t.orders[s.name]; !ok {
-			s.current = nil
+		if _, ok := t.orders[s.name]; !ok && s.current != nil {
+			s.current, s.ended = nil, s.current
 		}
 	}
 }
 
+// restoredDuration is the time after a restore of the store in which orders may be missing or
+// be written again, and recorded states be lost.
+const restoredDuration = 15 * time.Second
+
+// StoreRestored tells the table that the store came back from a copy that lacks its last
+// changes.
+func (t *Table) StoreRestored(now time.Time) { t.restoredAt = now }
+
+func (t *Table) isRestored(now time.Time) bool {
+	return !t.restoredAt.IsZero() && now.Sub(t.restoredAt) < restoredDuration
+}
+
+// repeats reports whether an order asks for the same as the one that is followed.
+func (o *rollout) repeats(other Order) bool {
+	return o.Target == other.Target && o.Duration == other.Duration
+}
+
 // setOrder applies one order. What is known of an order that was there before stays.
 func (t *Table) setOrder(now time.Time, o Order) {
 	if t.services == nil {
@@ -331,10 +354,14 @@
 		s = &service{name: o.Service}
 		t.services[o.Service] = s
 	}
-	if s.current == nil || s.current.ID != o.ID {
+	if s.current == nil && t.isRestored(now) {
+		s.current = s.ended
+	}
+	if s.current == nil || s.current.ID != o.ID && !(t.isRestored(now) && s.current.repeats(o)) {
 		s.current = &rollout{since: now}
 	}
 	c := s.current
+	c.unrecorded = c.unrecorded || t.isRestored(now) && o.State < c.State
 	// An older state may be heard of later.
 	o.State = max(o.State, c.State)
 	c.Order = o
--- a/core/crrollout/verdict.go
+++ b/core/crrollout/verdict.go
@@ -295,10 +295,12 @@
 	var list []Record
 	for _, s := range t.services {
 		o := s.current
-		if o == nil || o.State == Completed || o.State == RolledBack {
+		if o == nil || !o.unrecorded && (o.State == Completed || o.State == RolledBack) {
 			continue
 		}
 		switch {
+		case o.unrecorded:
+			list = append(list, Record{o.Order, o.State})
 		case o.bad:
 			list = append(list, Record{o.Order, RolledBack})
 		case t.completed(now, s, f):
@@ -333,7 +335,7 @@
 		return
 	}
 	o := s.current
-	o.State, o.Revision = r.State, revision
+	o.State, o.Revision, o.unrecorded = r.State, revision, false
 	if r.State == RolledBack {
 		o.find(true, "the store records it")
 	}
