--- a/stand/crsoak/plan.go
+++ b/stand/crsoak/plan.go
@@ -32,6 +32,7 @@
 	StoreForget   Action = "store-forget"
 	StoreSilence  Action = "store-silence"
 	StoreCutOne   Action = "store-cut-one"
+	StoreRestore  Action = "store-restore"
 	RoutingChange Action = "routing-change"
 	KeyTaken      Action = "key-taken"
 	RoutingStorm  Action = "routing-storm"
@@ -41,7 +42,7 @@
 	DaemonKill, DaemonPause, DaemonStop, DaemonReload, DaemonKillAll,
 	ServerCrash, ServerDrain, ServerTrouble, ServerLimit,
 	LinkDelay, LinkSilence, LinkOneWay, LinkReset,
-	StoreDown, StoreReset, StoreLost, StoreForget, StoreSilence, StoreCutOne,
+	StoreDown, StoreReset, StoreLost, StoreForget, StoreSilence, StoreCutOne, StoreRestore,
 	RoutingChange, KeyTaken, RoutingStorm,
 }
 
--- a/stand/crsoak/soak.go
+++ b/stand/crsoak/soak.go
@@ -30,6 +30,8 @@
 	// work, and stopTimeout the time between SIGTERM and SIGKILL.
 	revocation  = 5 * time.Second
 	stopTimeout = 8 * time.Second
+	// storeAway is how long the store is away before it comes back from a copy.
+	storeAway = time.Second
 	// drainTime is how long a leaving server serves on.
 	drainTime = 2500 * time.Millisecond
 	// callTimeout is how long a caller waits.
@@ -253,6 +255,11 @@
 		d.store.set(linkSilent)
 		time.Sleep(s.For)
 		d.store.set(linkSound)
+	case StoreRestore:
+		if !w.restores {
+			return nil
+		}
+		return w.restoreStore(s.For)
 	case RoutingChange:
 		return w.change()
 	case RoutingStorm:
@@ -279,6 +286,24 @@
 	return errors.Join(failed...)
 }
 
+// restoreStore lets the store be away for a moment and come back from a copy that lacks what was
+// written in the given time. The operator and the servers write again what they wrote.
+func (w *world) restoreStore(lost time.Duration) error {
+	backup := w.store.Copy()
+	time.Sleep(lost)
+	w.store.SetFault(crstandin.Reset)
+	time.Sleep(storeAway)
+	w.store.Restore(backup)
+	w.store.SetFault(crstandin.Sound)
+	w.mu.Lock()
+	failed := []error{w.write()}
+	w.mu.Unlock()
+	for _, s := range w.servers {
+		failed = append(failed, s.enterAgain(w))
+	}
+	return errors.Join(failed...)
+}
+
 // misbehave lets the server spoil a part of its answers for a while.
 func (s *server) misbehave(step Step) error {
 	const share = 0.3
--- a/stand/crsoak/world.go
+++ b/stand/crsoak/world.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	version int
 	// rollout is the roll-out that was played; nil without one.
 	rollout *played
+	// restores is true if the store may come back from a copy. It doesn't beside a roll-out,
+	// whose servers and order aren't written again here.
+	restores bool
 	// previous is true if daemons of an earlier release run.
 	previous bool
 	// limits are the times in which servers named limits, and disturbed those of faults that
@@ -55,6 +59,8 @@
 	served *crstandin.Server
 	http   *http.Server
 	born   time.Time
+	// entered is true while the server has an entry, and draining what it says there.
+	entered, draining bool
 }
 
 // domains are the failure domains of a soak.
@@ -83,7 +89,7 @@
 
 // build starts the store and the servers, and prepares the daemons.
 func build(o Options) (*world, error) {
-	w := &world{taken: make(map[string]time.Time), previous: o.Previous != ""}
+	w := &world{taken: make(map[string]time.Time), previous: o.Previous != "", restores: o.Rollout == nil}
 	l, err := listen()
 	if err != nil {
 		return nil, err
@@ -168,9 +174,35 @@
 func (s *server) enter(w *world, draining bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.entered, s.draining = true, draining
 	return w.store.Put(crstandin.KindServers, s.served.ID, crstandin.Entry(s.link.address(), s.domain, s.version, s.born, draining))
 }
 
+// enterAgain writes the newest entry of the server again, if it has one, and removes those that
+// the store's copy has of its earlier lives.
+func (s *server) enterAgain(w *world) error {
+	s.mu.Lock()
+	entered, id, draining := s.entered, s.served.ID, s.draining
+	s.mu.Unlock()
+	for _, name := range w.store.Names(crstandin.KindServers) {
+		if strings.HasPrefix(name, s.name+"-") && (name != id || !entered) {
+			w.store.Delete(crstandin.KindServers, name)
+		}
+	}
+	if !entered {
+		return nil
+	}
+	return s.enter(w, draining)
+}
+
+// leave removes the server's entry.
+func (s *server) leave(w *world) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entered = false
+	w.store.Delete(crstandin.KindServers, s.served.ID)
+}
+
 func (s *server) close() {
 	s.mu.Lock()
 	link, server := s.link, s.http
@@ -182,12 +214,9 @@
 // crash ends the server at once and starts it anew after a while. Its entry goes
 // as it lapses.
 func (s *server) crash(w *world, after time.Duration) error {
-	s.mu.Lock()
-	id := s.served.ID
-	s.mu.Unlock()
 	s.close()
 	time.Sleep(after / 2)
-	w.store.Delete(crstandin.KindServers, id)
+	s.leave(w)
 	time.Sleep(after / 2)
 	return s.start(w)
 }
@@ -197,11 +226,8 @@
 	if err := s.enter(w, true); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	id := s.served.ID
-	s.mu.Unlock()
 	time.Sleep(drainTime)
-	w.store.Delete(crstandin.KindServers, id)
+	s.leave(w)
 	s.close()
 	return s.start(w)
 }
