Don't go on with a broken stream from an answer that is no stream

Report of another operator: after a stream broke off, the next server's error stood in the middle of it, or the stream ended as if complete. Here answers with a status of 300 or above, and those that say they haven't run, were left out already; a success of another media type was passed on inside the stream.

Change: an answer goes on with a stream only if its media type is that of the stream, as far as both name one.

Evidence: of seven answers in TestErrorOfNextEndpointIsNotPartOfStream the success that is no stream failed before. TestRefusalOfEarlierRequestProvesNothing shows that a refusal written once more on a kept connection, with the earlier request's id or without one, neither tells a caller that its request hasn't run nor leads to a second run; it passed at once, as the id of an answer is compared, and an answer without one counts only as the first on its connection.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -182,6 +182,8 @@
 	sent atomic.Int64
 	// tried holds the endpoints of the attempts.
 	tried []crledger.Key
+	// mediaType is the Content-Type of the stream that is passed on.
+	mediaType string
 	// failure is the last answer with a status of 500 or above.
 	failure *bufferedAnswer
 	// answered is true once an answer has settled.
--- a/io/crforward/stall.go
+++ b/io/crforward/stall.go
@@ -253,7 +253,8 @@
 			x.keepFailure(g, answer)
 			continue
 		}
-		if notRun || !unanswered && answer.Status >= 300 {
+		if notRun || !unanswered && !x.continuesStream(answer) {
+			x.trace.mayHaveRun = x.trace.mayHaveRun || !notRun
 			answer.Close()
 			x.endGrant(g, crhealth.Refused)
 			continue
@@ -282,6 +283,13 @@
 	return nil
 }
 
+// continuesStream reports whether an answer may go on with the stream that is passed on. An
+// answer of another media type isn't one.
+func (x *exchange) continuesStream(answer *crhop.Answer) bool {
+	mediaType := answer.Header.Get("Content-Type")
+	return answer.Status < http.StatusMultipleChoices && (mediaType == x.mediaType || mediaType == "" || x.mediaType == "")
+}
+
 // beginsBody reports whether an answer only counts as one once its body has begun: a success
 // that another attempt could give as well.
 func (x *exchange) beginsBody(answer *crhop.Answer) bool {
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -40,6 +40,7 @@
 // handleStream passes on events as they arrive. If the stream breaks off and the route
 // allows it, the stream continues from another endpoint within the same answer.
 func (x *exchange) handleStream(ctx context.Context, g *crgrant.Grant, answer *crhop.Answer) result {
+	x.mediaType = answer.Header.Get("Content-Type")
 	s := &streamCopier{exchange: x, splitter: crstream.Splitter{Limit: x.MaxEventBytes}}
 	if x.request.LastEvent != "" {
 		if id, err := strconv.ParseUint(x.request.LastEvent, 10, 64); err == nil {
