--- a/core/crgrant/restore_test.go
+++ b/core/crgrant/restore_test.go
@@ -133,6 +133,7 @@
 			if c.size > 300 && !*largestFleet {
 				t.Skip("takes a minute; run with -largest-fleet")
 			}
+			t.Parallel()
 			seeds := uint64(1)
 			if c.size < 10 {
 				seeds = 6
