Drop kept endpoints also while the store's revision stays the same

Cause: after a restore, and wherever an instance lists anew, endpoints that the list lacks are kept for a time, and put in force at the list's revision. When they were to be dropped and nothing else had changed, the result had the same revision, and was taken for nothing new: a gone endpoint stayed in use until something else changed in the store. Peers had no way to tell the two lists apart either.

Change: a position says whether what was read is final; provisional data of a revision is before the final one.

--- a/core/crgrant/change.go
+++ b/core/crgrant/change.go
@@ -110,7 +110,7 @@
 // endpoints. It contains only the changes since then if they are known and few enough, and
 // the complete list otherwise.
 func (s *State) endpointsSince(now time.Time, have Position) *pb.Endpoints {
-	m := &pb.Endpoints{Revision: s.endpointsPosition.Revision(), Era: s.endpointsPosition.Era()}
+	m := &pb.Endpoints{Revision: s.endpointsPosition.Revision(), Era: s.endpointsPosition.Era(), Provisional: s.endpointsPosition.IsProvisional()}
 	ids, known := s.changes.since(have)
 	if known && have > 0 && float64(len(ids)) <= maxPartialShare*float64(len(s.endpoints)) {
 		m.Partial, m.Fingerprint = true, s.endpointsFingerprint
--- a/core/crgrant/formats_test.go
+++ b/core/crgrant/formats_test.go
@@ -33,11 +33,11 @@
 
 // newest are the fields that only this release knows.
 var newest = map[string][]string{
-	"Report":   {"limits", "endpoints_era", "outs_era", "rollouts_era", "knows_eras"},
+	"Report":   {"limits", "endpoints_era", "outs_era", "rollouts_era", "knows_eras", "endpoints_provisional", "outs_provisional"},
 	"Digest":   {"limits"},
 	"Contexts": {"limits"},
 	"Member":   {"knows_eras"},
-	"Snapshot": {}, "Endpoints": {"era"}, "Outs": {"era"}, "Rollouts": {"era"},
+	"Snapshot": {}, "Endpoints": {"era", "provisional"}, "Outs": {"era", "provisional"}, "Rollouts": {"era"},
 }
 
 // earlier returns the message types as a release without the given fields knows them.
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -202,11 +202,15 @@
 		Stamp:             durationpb.New(elapsed),
 		EndpointsRevision: s.endpointsPosition.Revision(),
 		EndpointsEra:      s.endpointsPosition.Era(),
-		OutsRevision:      s.outsPosition.Revision(),
-		OutsEra:           s.outsPosition.Era(),
-		RolloutsRevision:  s.rolloutsPosition.Revision(),
-		RolloutsEra:       s.rolloutsPosition.Era(),
-		Quarantines:       s.quarantinesProto(now),
+
+		EndpointsProvisional: s.endpointsPosition.IsProvisional(),
+		OutsProvisional:      s.outsPosition.IsProvisional(),
+
+		OutsRevision:     s.outsPosition.Revision(),
+		OutsEra:          s.outsPosition.Era(),
+		RolloutsRevision: s.rolloutsPosition.Revision(),
+		RolloutsEra:      s.rolloutsPosition.Era(),
+		Quarantines:      s.quarantinesProto(now),
 	}
 	if s.routingTable != nil {
 		m.RoutingVersion = s.routingTable.Version
@@ -382,10 +386,10 @@
 	if m.RoutingAge != nil && s.routingTable != nil && m.GetRoutingVersion() <= s.routingTable.Version {
 		s.Evidence.Heard(sent, m.GetRoutingAge().AsDuration())
 	}
-	if m.EndpointsAge != nil && s.isEvidence(m.GetEndpointsEra(), m.GetEndpointsRevision(), s.endpointsPosition) {
+	if m.EndpointsAge != nil && s.isEvidence(endpointsPositionOf(m), s.endpointsPosition) {
 		s.EndpointsEvidence.Heard(sent, m.GetEndpointsAge().AsDuration())
 	}
-	if m.OutsAge != nil && s.isEvidence(m.GetOutsEra(), m.GetOutsRevision(), s.outsPosition) {
+	if m.OutsAge != nil && s.isEvidence(outsPositionOf(m), s.outsPosition) {
 		s.OutOfServiceEvidence.Heard(sent, m.GetOutsAge().AsDuration())
 	}
 }
@@ -422,6 +426,14 @@
 	s.applyLeaving(now, m.GetLeavingEndpoints())
 }
 
+func endpointsPositionOf(m *pb.Report) Position {
+	return PositionOf(m.GetEndpointsEra(), m.GetEndpointsRevision(), m.GetEndpointsProvisional())
+}
+
+func outsPositionOf(m *pb.Report) Position {
+	return PositionOf(m.GetOutsEra(), m.GetOutsRevision(), m.GetOutsProvisional())
+}
+
 // isBehind reports whether the sender of a report has a newer version of any data than
 // this instance.
 func (s *State) isBehind(m *pb.Report) bool {
@@ -430,9 +442,9 @@
 		version = s.routingTable.Version
 	}
 	return m.GetRoutingVersion() > version ||
-		s.positionFrom(m.GetEndpointsEra(), m.GetEndpointsRevision(), s.endpointsPosition) > s.endpointsPosition ||
-		s.positionFrom(m.GetOutsEra(), m.GetOutsRevision(), s.outsPosition) > s.outsPosition ||
-		s.positionFrom(m.GetRolloutsEra(), m.GetRolloutsRevision(), s.rolloutsPosition) > s.rolloutsPosition
+		s.positionFrom(endpointsPositionOf(m), s.endpointsPosition) > s.endpointsPosition ||
+		s.positionFrom(outsPositionOf(m), s.outsPosition) > s.outsPosition ||
+		s.positionFrom(PositionOf(m.GetRolloutsEra(), m.GetRolloutsRevision(), false), s.rolloutsPosition) > s.rolloutsPosition
 }
 
 // Versions are the version of the routing, and the positions of the endpoints, of the
@@ -467,7 +479,7 @@
 		m.Endpoints = s.endpointsSince(now, base)
 	}
 	if s.outsPosition > s.snapshotBase(have.Outs, s.outsPosition) {
-		m.Outs = &pb.Outs{Revision: s.outsPosition.Revision(), Era: s.outsPosition.Era()}
+		m.Outs = &pb.Outs{Revision: s.outsPosition.Revision(), Era: s.outsPosition.Era(), Provisional: s.outsPosition.IsProvisional()}
 		for d := range s.outs {
 			m.Outs.FailureDomains = append(m.Outs.FailureDomains, d)
 		}
@@ -490,10 +502,10 @@
 		if err != nil {
 			return err
 		}
-		s.SetEndpoints(now, s.snapshotPosition(m.GetEndpoints().GetEra(), m.GetEndpoints().GetRevision(), &s.endpointsPosition), list)
+		s.SetEndpoints(now, s.snapshotPosition(listedAt(m.GetEndpoints().GetEra(), m.GetEndpoints().GetRevision(), m.GetEndpoints().GetProvisional()), &s.endpointsPosition), list)
 	}
 	if m.Outs != nil {
-		s.SetOutOfService(now, s.snapshotPosition(m.GetOuts().GetEra(), m.GetOuts().GetRevision(), &s.outsPosition), m.GetOuts().GetFailureDomains())
+		s.SetOutOfService(now, s.snapshotPosition(listedAt(m.GetOuts().GetEra(), m.GetOuts().GetRevision(), m.GetOuts().GetProvisional()), &s.outsPosition), m.GetOuts().GetFailureDomains())
 	}
 	if m.Rollouts != nil {
 		s.SetRollouts(now, m.GetRollouts())
--- a/core/crgrant/restore_test.go
+++ b/core/crgrant/restore_test.go
@@ -196,6 +196,9 @@
 		{"sender without eras", position(2, 40), position(0, 41), position(2, 41), 0},
 		{"sender without eras after a restore", position(2, 40), position(0, 90), position(2, 40), position(1, 80)},
 		{"receiver without eras", position(0, 90), position(1, 40), position(1, 40), 0},
+		{"final data", position(2, 40).Provisional(), position(2, 40), position(2, 40), 0},
+		{"provisional data", position(2, 40), position(2, 40).Provisional(), position(2, 40), 0},
+		{"newer provisional data", position(2, 40), position(2, 41).Provisional(), position(2, 41).Provisional(), 0},
 	} {
 		n, from := newNode(1), newNode(2)
 		if c.before > 0 {
--- a/core/crgrant/rollout.go
+++ b/core/crgrant/rollout.go
@@ -108,7 +108,7 @@
 func (s *State) SetRollouts(now time.Time, m *pb.Rollouts) bool {
 	s.lock(now)
 	defer s.mu.Unlock()
-	at := s.positionFrom(m.GetEra(), m.GetRevision(), s.rolloutsPosition)
+	at := s.positionFrom(NewPosition(m.GetEra(), m.GetRevision()), s.rolloutsPosition)
 	if at <= s.rolloutsPosition {
 		return false
 	}
--- a/io/crlink/snapshot.go
+++ b/io/crlink/snapshot.go
@@ -98,8 +98,15 @@
 
 // versionsQuery returns the query by which an instance names the versions that it has.
 func versionsQuery(v crgrant.Versions) string {
-	return fmt.Sprintf("routing=%d&endpoints=%d&outs=%d&rollouts=%d&endpoints-era=%d&outs-era=%d&rollouts-era=%d",
+	query := fmt.Sprintf("routing=%d&endpoints=%d&outs=%d&rollouts=%d&endpoints-era=%d&outs-era=%d&rollouts-era=%d",
 		v.Routing, v.Endpoints.Revision(), v.Outs.Revision(), v.Rollouts.Revision(), v.Endpoints.Era(), v.Outs.Era(), v.Rollouts.Era())
+	if v.Endpoints.IsProvisional() {
+		query += "&endpoints-provisional=1"
+	}
+	if v.Outs.IsProvisional() {
+		query += "&outs-provisional=1"
+	}
+	return query
 }
 
 // parseVersions returns the versions that a query names. An instance of an earlier release
@@ -112,6 +119,7 @@
 	}{
 		{"routing", false}, {"endpoints", false}, {"outs", false}, {"rollouts", true},
 		{"endpoints-era", true}, {"outs-era", true}, {"rollouts-era", true},
+		{"endpoints-provisional", true}, {"outs-provisional", true},
 	} {
 		text := r.FormValue(p.name)
 		if text == "" && p.optional {
@@ -123,7 +131,9 @@
 		}
 		numbers[p.name] = n
 	}
-	position := func(name string) crgrant.Position { return crgrant.NewPosition(numbers[name+"-era"], numbers[name]) }
+	position := func(name string) crgrant.Position {
+		return crgrant.PositionOf(numbers[name+"-era"], numbers[name], numbers[name+"-provisional"] > 0)
+	}
 	return crgrant.Versions{
 		Routing: numbers["routing"], Endpoints: position("endpoints"), Outs: position("outs"), Rollouts: position("rollouts"),
 	}, nil
--- a/io/crwatch/kinds.go
+++ b/io/crwatch/kinds.go
@@ -104,6 +104,9 @@
 		}
 		clear(k.missing)
 	}
+	if len(k.missing) > 0 {
+		at = at.Provisional()
+	}
 	k.apply(now, at)
 }
 
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -30,6 +30,7 @@
 	revision  crgrant.Position
 	endpoints map[string]*pb.Endpoint
 	routing   *pb.Routing
+	outs      []string
 	calls     int
 	kept      []byte
 	// saves counts the checkpoints, and registrations the registered instances.
@@ -46,7 +47,7 @@
 func (s *store) do(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision += 2
 	f()
 }
 
@@ -98,7 +99,13 @@
 			}
 			return list
 		}),
-		Outs:      feed(s, func() []crwatch.Change[struct{}] { return nil }),
+		Outs: feed(s, func() []crwatch.Change[struct{}] {
+			var list []crwatch.Change[struct{}]
+			for _, name := range s.outs {
+				list = append(list, crwatch.Change[struct{}]{Name: name, Value: &struct{}{}})
+			}
+			return list
+		}),
 		Instances: feed(s, func() []crwatch.Change[crliveness.Instance] { return nil }),
 		Register:  func(context.Context, crliveness.Instance) error { s.registrations++; return nil },
 		Contexts: crwatch.Checkpoint{
@@ -435,3 +442,22 @@
 		}
 	})
 }
+
+// TestEndpointsThatStayMissingAreDropped guards against endpoints that are kept after a restore
+// of the store for as long as its revision stays the same.
+func TestEndpointsThatStayMissingAreDropped(t *testing.T) {
+	s := newStore("llm-1", "llm-2")
+	s.revision = crgrant.NewPosition(1, 100)
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(2 * time.Second)
+		s.restore(40, func() { delete(s.endpoints, "llm-2") })
+		time.Sleep(1500 * time.Millisecond)
+		if diff := cmp.Diff([]string{"llm-1", "llm-2"}, endpoints(state)); diff != "" {
+			t.Errorf("endpoints soon after the store came back (-want +got):\n%s", diff)
+		}
+		time.Sleep(4 * time.Second)
+		if diff := cmp.Diff([]string{"llm-1"}, endpoints(state)); diff != "" {
+			t.Errorf("endpoints once the store has settled (-want +got):\n%s", diff)
+		}
+	})
+}
