Keep failure domains out of service that a restored store lacks

Cause: an evacuation that was written in the seconds that a copy lacks ended with the first list of the new era, and requests went to the failure domain until its operator had written again.

Change: as with endpoints, what is missing in a list counts for 2.3 s after an outage or after the instance learned of the era.

Evidence: TestDomainsThatCopyLacksStayOutOfService failed before.

--- a/io/crwatch/kinds.go
+++ b/io/crwatch/kinds.go
@@ -145,6 +145,9 @@
 type outsKind struct {
 	w     *Watcher
 	known map[string]bool
+	// kept holds the failure domains that were out of service at the reset and aren't in the
+	// list that followed. They count while the store may lack entries.
+	kept map[string]bool
 	// applied holds the failure domains that were last put in force. It is nil since reset,
 	// because the ones in force may have come from another instance.
 	applied map[string]bool
@@ -160,22 +163,35 @@
 
 func (k *outsKind) reset() {
 	clear(k.known)
-	k.applied = nil
+	k.applied, k.kept = nil, make(map[string]bool)
+	m := k.w.State.Snapshot(time.Now(), crgrant.Versions{Routing: math.MaxUint64, Endpoints: math.MaxUint64, Rollouts: math.MaxUint64})
+	for _, name := range m.GetOuts().GetFailureDomains() {
+		k.kept[name] = true
+	}
 }
 
 func (k *outsKind) take(changes []Change[struct{}], at crgrant.Position) {
 	for _, c := range changes {
+		delete(k.kept, c.Name)
 		if c.Removed {
 			delete(k.known, c.Name)
 		} else {
 			k.known[c.Name] = true
 		}
 	}
-	if k.applied != nil && maps.Equal(k.applied, k.known) {
+	if !k.w.settling(time.Now()) {
+		clear(k.kept)
+	}
+	out := maps.Clone(k.known)
+	maps.Copy(out, k.kept)
+	if k.applied != nil && maps.Equal(k.applied, out) {
 		return
 	}
-	k.applied = maps.Clone(k.known)
-	domains := slices.Sorted(maps.Keys(k.known))
+	k.applied = out
+	if len(k.kept) > 0 {
+		at = at.Provisional()
+	}
+	domains := slices.Sorted(maps.Keys(out))
 	if k.w.State.SetOutOfService(time.Now(), at, domains) {
 		k.w.Log.Info("watch: the failure domains out of service changed", zap.Strings("failure-domains", domains), zap.Uint64("revision", at.Revision()))
 		k.w.Changed()
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -443,6 +443,29 @@
 	})
 }
 
+// TestDomainsThatCopyLacksStayOutOfService guards against requests to a failure domain that was
+// taken out of service within the time that the copy of a restored store lacks.
+func TestDomainsThatCopyLacksStayOutOfService(t *testing.T) {
+	s := newStore("llm-1")
+	s.revision = crgrant.NewPosition(1, 100)
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(2 * time.Second)
+		s.do(func() { s.outs = []string{"noord-b"} })
+		time.Sleep(3 * time.Second)
+		s.restore(40, func() { s.outs = nil })
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			if diff := cmp.Diff([]string{"noord-b"}, state.Dump(time.Now()).Out); diff != "" {
+				t.Fatalf("failure domains out of service (-want +got):\n%s", diff)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		if out := state.Dump(time.Now()).Out; len(out) > 0 {
+			t.Errorf("%v are out of service for longer than the store may lack entries", out)
+		}
+	})
+}
+
 // TestEndpointsThatStayMissingAreDropped guards against endpoints that are kept after a restore
 // of the store for as long as its revision stays the same.
 func TestEndpointsThatStayMissingAreDropped(t *testing.T) {
