Tell callers of limits of zero that endpoints are limited

Cause: with all endpoints of a service limited to zero the sum of their rates was zero as well, and callers were told that there is no endpoint.

Change: a rate counts as at least the one at which requests are sent all the same. Beside it, names and comments of the last commits, from a reading of the diff.

Evidence: TestLimitOfZero failed before.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -158,7 +158,7 @@
 				if perSecond == crlimit.None {
 					return perSecond, 0
 				}
-				return perSecond, s.limitGate.Wait(s.callTime, e.Key, perSecond)
+				return max(perSecond, crlimit.MinPerSecond), s.limitGate.Wait(s.callTime, e.Key, perSecond)
 			},
 			TakeLimited: func(e *crplace.Endpoint) {
 				if s.limits.PerSecond(e.Key) != crlimit.None {
--- a/core/crgrant/limit_test.go
+++ b/core/crgrant/limit_test.go
@@ -451,3 +451,17 @@
 		}
 	}
 }
+
+// TestLimitOfZero checks what a caller is told when all endpoints take no requests at all.
+func TestLimitOfZero(t *testing.T) {
+	n := newNode(1)
+	n.SetEndpoints(start, 1, []*crplace.Endpoint{endpoint(t, "llm-1")})
+	ask := crgrant.Request{Service: crroute.Service{Name: "llm"}}
+	g := n.Grant(start, ask)
+	g.RecordLimit(start, 0)
+	g.End(start, crhealth.Good)
+	g = n.Grant(start, ask)
+	if g.Reason != crplace.Limited || g.RetryAfter <= 0 || g.RetryAfter > 3*time.Second {
+		t.Errorf("reason %v, return after %v, want %v within 3s", g.Reason, g.RetryAfter, crplace.Limited)
+	}
+}
--- a/core/crgrant/position.go
+++ b/core/crgrant/position.go
@@ -50,7 +50,7 @@
 	return listedAt(era, revision, provisional)
 }
 
-// listedAt returns the position of listed data.
+// listedAt returns the position of data that was read of the store.
 func listedAt(era, revision uint64, provisional bool) Position {
 	if provisional {
 		return NewPosition(era, revision).Provisional()
@@ -100,12 +100,19 @@
 	return (at.Era() != 0 || own.Era() == 0) && s.positionFrom(at, own) <= own
 }
 
-// snapshotPosition returns the position that a snapshot names, for a caller that doesn't hold
-// the mutex.
-func (s *State) snapshotPosition(at Position, own *Position) Position {
+// listed is a part of a snapshot.
+type listed interface {
+	GetEra() uint64
+	GetRevision() uint64
+	GetProvisional() bool
+}
+
+// snapshotPosition returns the position of a part of a snapshot, for a caller that doesn't hold
+// the mutex. The parameter own is the position of the same part here.
+func (s *State) snapshotPosition(m listed, own *Position) Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.positionFrom(at, *own)
+	return s.positionFrom(listedAt(m.GetEra(), m.GetRevision(), m.GetProvisional()), *own)
 }
 
 // StoreEra returns the newest known era of the store, or zero, and when this instance learned
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -202,16 +202,13 @@
 		Stamp:             durationpb.New(elapsed),
 		EndpointsRevision: s.endpointsPosition.Revision(),
 		EndpointsEra:      s.endpointsPosition.Era(),
-
-		EndpointsProvisional: s.endpointsPosition.IsProvisional(),
-		OutsProvisional:      s.outsPosition.IsProvisional(),
-
-		OutsRevision:     s.outsPosition.Revision(),
-		OutsEra:          s.outsPosition.Era(),
-		RolloutsRevision: s.rolloutsPosition.Revision(),
-		RolloutsEra:      s.rolloutsPosition.Era(),
-		Quarantines:      s.quarantinesProto(now),
+		OutsRevision:      s.outsPosition.Revision(),
+		OutsEra:           s.outsPosition.Era(),
+		RolloutsRevision:  s.rolloutsPosition.Revision(),
+		RolloutsEra:       s.rolloutsPosition.Era(),
+		Quarantines:       s.quarantinesProto(now),
 	}
+	m.EndpointsProvisional, m.OutsProvisional = s.endpointsPosition.IsProvisional(), s.outsPosition.IsProvisional()
 	if s.routingTable != nil {
 		m.RoutingVersion = s.routingTable.Version
 		m.RoutingAge = ageProto(&s.Evidence, elapsed)
@@ -502,10 +499,10 @@
 		if err != nil {
 			return err
 		}
-		s.SetEndpoints(now, s.snapshotPosition(listedAt(m.GetEndpoints().GetEra(), m.GetEndpoints().GetRevision(), m.GetEndpoints().GetProvisional()), &s.endpointsPosition), list)
+		s.SetEndpoints(now, s.snapshotPosition(m.GetEndpoints(), &s.endpointsPosition), list)
 	}
 	if m.Outs != nil {
-		s.SetOutOfService(now, s.snapshotPosition(listedAt(m.GetOuts().GetEra(), m.GetOuts().GetRevision(), m.GetOuts().GetProvisional()), &s.outsPosition), m.GetOuts().GetFailureDomains())
+		s.SetOutOfService(now, s.snapshotPosition(m.GetOuts(), &s.outsPosition), m.GetOuts().GetFailureDomains())
 	}
 	if m.Rollouts != nil {
 		s.SetRollouts(now, m.GetRollouts())
--- a/core/crlimit/gate.go
+++ b/core/crlimit/gate.go
@@ -15,9 +15,9 @@
 	// half of the limit and five requests in addition, in 4 s; the difference covers
 	// instances that disagree on who sends.
 	minSenders = 3
-	// minPerSecond is the rate at which requests are sent to an endpoint whose limit is
+	// MinPerSecond is the rate at which requests are sent to an endpoint whose limit is
 	// lower, since only its answers show that the limit has ended.
-	minPerSecond = 0.1
+	MinPerSecond = 0.1
 	// chosenLifetime is how long an instance relies on being one of an endpoint's senders or
 	// not, because a look at the whole fleet for each endpoint and request takes long.
 	chosenLifetime = 300 * time.Millisecond
@@ -49,7 +49,7 @@
 // Wait returns the time until this instance may send a request to an endpoint with the given
 // limit, or Never. Zero means that it may send one now.
 func (g *Gate) Wait(now time.Time, k crledger.Key, perSecond float64) time.Duration {
-	perSecond = max(perSecond, minPerSecond)
+	perSecond = max(perSecond, MinPerSecond)
 	senders := min(g.Roster.Size(now), minSenders+int(min(perSecond, float64(g.Roster.Size(now)))))
 	b := g.bucket(now, k)
 	if now.Sub(b.chosenAt) >= chosenLifetime {
--- a/core/crplace/candidate.go
+++ b/core/crplace/candidate.go
@@ -72,8 +72,9 @@
 
 // candidates returns the endpoints that may be used, and the mean load: the requests in
 // flight at the endpoints of the service, divided by the number of endpoints that aren't
-// draining. Endpoints that may not be used because of their limits count for neither. Endpoints that are ejected for failures are included only if they exceed
-// maxEjectedShare. The returned slice is valid until the next call.
+// draining. Endpoints that may not be used because of their limits count for neither.
+// Endpoints that are ejected for failures are included only if they exceed maxEjectedShare.
+// The returned slice is valid until the next call.
 func (p *Placer) candidates(now time.Time, a Request, held map[crledger.Key]int) ([]candidate, float64) {
 	p.healthy, p.ejected, p.pausedUntil = p.healthy[:0], p.ejected[:0], time.Time{}
 	p.limitPerSecond = 0
