--- a/core/crgrant/position.go
+++ b/core/crgrant/position.go
@@ -1,6 +1,10 @@
 package crgrant
 
-import "time"
+import (
+	"time"
+
+	pb "crocusrack/schema/crrouter"
+)
 
 // Position is a position in the history of the store: the era in the upper bits, then the
 // revision, and whether what was read is final in the lowest bit, so that later positions are
@@ -123,3 +127,19 @@
 	defer s.mu.Unlock()
 	return max(s.endpointsPosition, s.outsPosition, s.rolloutsPosition).Era(), s.restoredAt
 }
+
+func endpointsPositionOf(m *pb.Report) Position {
+	return PositionOf(m.GetEndpointsEra(), m.GetEndpointsRevision(), m.GetEndpointsProvisional())
+}
+
+func outsPositionOf(m *pb.Report) Position {
+	return PositionOf(m.GetOutsEra(), m.GetOutsRevision(), m.GetOutsProvisional())
+}
+
+// Versions are the version of the routing, and the positions of the endpoints, of the
+// failure domains out of service and of the roll-outs, that an instance has. Zero means
+// none.
+type Versions struct {
+	Routing                   uint64
+	Endpoints, Outs, Rollouts Position
+}
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -423,14 +423,6 @@
 	s.applyLeaving(now, m.GetLeavingEndpoints())
 }
 
-func endpointsPositionOf(m *pb.Report) Position {
-	return PositionOf(m.GetEndpointsEra(), m.GetEndpointsRevision(), m.GetEndpointsProvisional())
-}
-
-func outsPositionOf(m *pb.Report) Position {
-	return PositionOf(m.GetOutsEra(), m.GetOutsRevision(), m.GetOutsProvisional())
-}
-
 // isBehind reports whether the sender of a report has a newer version of any data than
 // this instance.
 func (s *State) isBehind(m *pb.Report) bool {
@@ -444,14 +436,6 @@
 		s.positionFrom(PositionOf(m.GetRolloutsEra(), m.GetRolloutsRevision(), false), s.rolloutsPosition) > s.rolloutsPosition
 }
 
-// Versions are the version of the routing, and the positions of the endpoints, of the
-// failure domains out of service and of the roll-outs, that an instance has. Zero means
-// none.
-type Versions struct {
-	Routing                   uint64
-	Endpoints, Outs, Rollouts Position
-}
-
 // Versions returns the versions that this instance has.
 func (s *State) Versions() Versions {
 	s.init()
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,7 +20,6 @@
 
 	"crocusrack/core/crcontext"
 	"crocusrack/core/crgrant"
-	"crocusrack/core/crlimit"
 	"crocusrack/core/crliveness"
 	"crocusrack/core/crplace"
 	"crocusrack/io/crforward"
@@ -57,13 +55,7 @@
 		d, _ := time.ParseDuration(h.Get("Pause"))
 		return d
 	},
-	Limit: func(_ int, h http.Header) (float64, bool) {
-		if h.Get("Limit") == "" {
-			return crlimit.None, true
-		}
-		perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
-		return perSecond, err == nil
-	},
+	Limit: limitOf,
 }
 
 // fixture is an instance that forwards to endpoints over a simulated network, all in one
--- a/io/crforward/hints_test.go
+++ b/io/crforward/hints_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"crocusrack/core/crgrant"
+	"crocusrack/core/crlimit"
 )
 
 // TestLeavingEndpoint checks that an endpoint that says in an answer that it is about to
@@ -82,6 +83,15 @@
 	}, pause, good)
 }
 
+// limitOf is the Limit of the tests' codec.
+func limitOf(_ int, h http.Header) (float64, bool) {
+	if h.Get("Limit") == "" {
+		return crlimit.None, true
+	}
+	perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64)
+	return perSecond, err == nil
+}
+
 // TestLimitedEndpoint checks that an endpoint gets no more requests than the limit in its
 // answers allows until an answer names none, and that a caller who is refused learns when to
 // return.
