--- a/review/platform/world.go
+++ b/review/platform/world.go
@@ -302,8 +302,13 @@
 	os.Exit(status)
 }
 
+// EntryStore is a store to which servers write their entries.
+type EntryStore interface {
+	Put(kind, name string, spec any) error
+}
+
 // Server starts a sound server of the project's stand-ins and writes its entry to the store.
-func (w *World) Server(store *crstandin.Store, s *crstandin.Server, zone string) (netip.AddrPort, error) {
+func (w *World) Server(store EntryStore, s *crstandin.Server, zone string) (netip.AddrPort, error) {
 	address, err := w.Serve(s)
 	if err != nil {
 		return address, err
