Require keys although no account holds one

Cause: Table.HasAccounts told whether any account holds a key, and without one no request needed a key. An empty list thus switched the check off. It was the same for accounts that are an empty list or null in the configuration, after a restart, and at instances that got the version from another.

Change: whether requests need a key is a property of the configuration: it contains client accounts, however empty. The message between instances has a field for it. Without the field, as from earlier releases, any account will do. Earlier releases ignore the field and pass it on.

--- a/core/crgrant/formats_test.go
+++ b/core/crgrant/formats_test.go
@@ -26,6 +26,7 @@
 		"Digest":   append([]string{"crash_evidence", "quarantines"}, newest["Digest"]...),
 		"Contexts": append([]string{"crash_evidence"}, newest["Contexts"]...),
 		"Member":   newest["Member"],
+		"Routing":  newest["Routing"],
 		"Snapshot": newest["Snapshot"], "Endpoints": newest["Endpoints"], "Outs": newest["Outs"], "Rollouts": newest["Rollouts"],
 	},
 	"without limits and eras": newest,
@@ -37,6 +38,7 @@
 	"Digest":   {"limits"},
 	"Contexts": {"limits"},
 	"Member":   {"knows_eras"},
+	"Routing":  {"requires_keys"},
 	"Snapshot": {}, "Endpoints": {"era", "provisional"}, "Outs": {"era", "provisional"}, "Rollouts": {"era"},
 }
 
@@ -121,3 +123,48 @@
 		t.Error("a report of the release before ended a limit")
 	}
 }
+
+// TestRoutingFromPeerRequiresKeys guards against an instance that takes a version of the
+// routing in which no account has a key from another instance and then needs no keys. The other
+// instance may run the release before, read the version itself or pass it on.
+func TestRoutingFromPeerRequiresKeys(t *testing.T) {
+	routing := earlier(t, newest).Messages().ByName("Routing")
+	for _, c := range []struct {
+		name    string
+		routing *pb.Routing
+		before  bool
+		want    bool
+	}{
+		{"no accounts", &pb.Routing{}, false, false},
+		{"an account without keys", &pb.Routing{RequiresKeys: true, Accounts: []*pb.Account{{Name: "buyer"}}}, false, true},
+		{"the last account taken away", &pb.Routing{RequiresKeys: true}, false, true},
+		{"the last account taken away, passed on by the release before", &pb.Routing{RequiresKeys: true}, true, true},
+		{"an account without keys, read by the release before", &pb.Routing{Accounts: []*pb.Account{{Name: "buyer"}}}, true, true},
+	} {
+		c.routing.Version = 4
+		from, to := newNode(0), newNode(1)
+		if c.before {
+			data, err := proto.Marshal(c.routing)
+			if err != nil {
+				t.Fatal(err)
+			}
+			old := dynamicpb.NewMessage(routing)
+			if err := proto.Unmarshal(data, old); err != nil {
+				t.Fatal(err)
+			}
+			if data, err = proto.Marshal(old); err != nil {
+				t.Fatal(err)
+			}
+			if err := proto.Unmarshal(data, c.routing); err != nil {
+				t.Fatal(err)
+			}
+		}
+		from.SetRouting(c.routing)
+		if err := to.ApplySnapshot(start, from.Snapshot(start, crgrant.Versions{})); err != nil {
+			t.Fatal(err)
+		}
+		if got := to.Table().RequiresKeys(); got != c.want {
+			t.Errorf("%s: keys are required: %t, want %t", c.name, got, c.want)
+		}
+	}
+}
--- a/core/crroute/route.go
+++ b/core/crroute/route.go
@@ -124,6 +124,7 @@
 	routesByHost  map[string][]*Route
 	services      map[string]Service
 	accountsByKey map[string]*Account
+	requiresKeys  bool
 }
 
 // New returns the table of one version of the routing configuration.
@@ -137,6 +138,7 @@
 		routesByHost:  make(map[string][]*Route),
 		services:      make(map[string]Service),
 		accountsByKey: make(map[string]*Account),
+		requiresKeys:  m.GetRequiresKeys() || len(m.GetAccounts()) > 0,
 	}
 	for _, s := range m.GetServices() {
 		t.services[s.GetName()] = Service{
@@ -225,6 +227,6 @@
 // Account returns the client account that holds the key, or nil if there is none.
 func (t *Table) Account(key string) *Account { return t.accountsByKey[key] }
 
-// HasAccounts reports whether any client account has a key. Only then do requests
-// need one.
-func (t *Table) HasAccounts() bool { return len(t.accountsByKey) > 0 }
+// RequiresKeys reports whether requests need a key, unless their route is anonymous. They
+// may need one although no client account holds any.
+func (t *Table) RequiresKeys() bool { return t.requiresKeys }
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -295,7 +295,7 @@
 // answered the request. A key is accepted only while the routing is fresh, since the key
 // may have been revoked.
 func (x *exchange) authenticate() bool {
-	if x.route.Anonymous || !x.table.HasAccounts() {
+	if x.route.Anonymous || !x.table.RequiresKeys() {
 		return true
 	}
 	x.account = x.table.Account(x.request.Key)
--- a/io/crforward/key_test.go
+++ b/io/crforward/key_test.go
@@ -39,6 +39,36 @@
 	}, good)
 }
 
+// TestRequestsNeedKeyWhenNoAccountHasOne guards against requests that run without a key after
+// the last key was taken away.
+func TestRequestsNeedKeyWhenNoAccountHasOne(t *testing.T) {
+	runFixture(t, func(r *fixture) {
+		version := uint64(1)
+		for _, c := range []struct {
+			name    string
+			routing *pb.Routing
+			want    map[string]int
+		}{
+			{"a key", &pb.Routing{Accounts: testRouting().Accounts}, map[string]int{"k": 200, "x": 401, "": 401}},
+			{"no key", &pb.Routing{Accounts: []*pb.Account{{Name: "buyer"}}}, map[string]int{"k": 401, "x": 401, "": 401}},
+			{"no account", &pb.Routing{RequiresKeys: true}, map[string]int{"k": 401, "x": 401, "": 401}},
+			{"the key again", &pb.Routing{Accounts: testRouting().Accounts}, map[string]int{"k": 200, "x": 401, "": 401}},
+		} {
+			version++
+			c.routing.Version, c.routing.Routes = version, testRouting().Routes
+			r.state.SetRouting(c.routing)
+			got := map[string]int{}
+			for key := range c.want {
+				a, _ := r.send(r.t.Context(), "/read/", "", "Key", key)
+				got[key] = a.Status
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("%s: status by key (-want +got):\n%s", c.name, diff)
+			}
+		}
+	}, good)
+}
+
 // TestSuspendedInDial suspends the instance while it opens a connection to an endpoint.
 // If the key may have been revoked meanwhile, or the grant is too old, the request must
 // not be sent.
