Check waiting requests against the newest routing

Cause: keyValid, which is asked before each send, held every request without an account for valid, and asked of the others only whether any account has the key.

Change: keyValid asks the newest routing the same question as authenticate (Table.Authorize) and compares the accounts. An instance whose routing hasn't changed since compares one pointer. TestAccount became TestAuthorize, which checks the same keys and anonymous routes.

--- a/core/crroute/route.go
+++ b/core/crroute/route.go
@@ -224,8 +224,15 @@
 // none.
 func (t *Table) Service(name string) Service { return t.services[name] }
 
-// Account returns the client account that holds the key, or nil if there is none.
-func (t *Table) Account(key string) *Account { return t.accountsByKey[key] }
+// Authorize returns the client account of a request for a route with a key, or false if the
+// request needs a key that an account holds. The account is nil if the request needs no key.
+func (t *Table) Authorize(r *Route, key string) (*Account, bool) {
+	if r.Anonymous || !t.requiresKeys {
+		return nil, true
+	}
+	a := t.accountsByKey[key]
+	return a, a != nil
+}
 
 // RequiresKeys reports whether requests need a key, unless their route is anonymous. They
 // may need one although no client account holds any.
--- a/core/crroute/route_test.go
+++ b/core/crroute/route_test.go
@@ -73,12 +73,19 @@
 	}
 }
 
-func TestAccount(t *testing.T) {
+func TestAuthorize(t *testing.T) {
 	table := crroute.New(routing())
-	if a := table.Account("k2"); a == nil || a.Name != "buyer" || !a.HasPriority {
-		t.Errorf("key k2 belongs to %v", a)
+	named := table.Route("desk.example", "/draft/a")
+	want := &crroute.Account{Name: "buyer", HasPriority: true}
+	if a, ok := table.Authorize(named, "k2"); !ok || !cmp.Equal(want, a) {
+		t.Errorf("key k2: account %v, %t, want %v", a, ok, want)
 	}
-	if a := table.Account(""); a != nil {
-		t.Errorf("the empty key belongs to %v", a)
+	for _, key := range []string{"", "k3"} {
+		if a, ok := table.Authorize(named, key); ok {
+			t.Errorf("key %q: account %v", key, a)
+		}
+	}
+	if a, ok := table.Authorize(&crroute.Route{Anonymous: true}, ""); !ok || a != nil {
+		t.Errorf("an anonymous route: account %v, %t", a, ok)
 	}
 }
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -295,11 +295,8 @@
 // answered the request. A key is accepted only while the routing is fresh, since the key
 // may have been revoked.
 func (x *exchange) authenticate() bool {
-	if x.route.Anonymous || !x.table.RequiresKeys() {
-		return true
-	}
-	x.account = x.table.Account(x.request.Key)
-	if x.account == nil {
+	var ok bool
+	if x.account, ok = x.table.Authorize(x.route, x.request.Key); !ok {
 		x.deny(http.StatusUnauthorized, "unknown-key")
 		return false
 	}
@@ -307,7 +304,7 @@
 		x.refuse("stale-keys", defaultRetryAfter)
 		return false
 	}
-	if x.account.HasPriority {
+	if x.account != nil && x.account.HasPriority {
 		x.priority = x.account.Priority
 	}
 	return true
@@ -322,14 +319,28 @@
 	return ok && age < x.MaxKeyAge
 }
 
-// keyValid reports whether the newest routing is fresh and still contains the key.
-// Requests without an account need no key.
+// keyValid reports whether the newest routing allows the request for the same client account,
+// and is fresh if it has one. A route that is gone meanwhile counts as it was.
 func (x *exchange) keyValid() bool {
-	if x.account == nil {
-		return true
-	}
 	table := x.State.Table()
-	return x.keysFresh() && table.Account(x.request.Key) != nil
+	if table == x.table {
+		return x.keysFresh()
+	}
+	route := table.Route(x.incoming.Host, x.incoming.URL.Path)
+	if route == nil {
+		route = x.route
+	}
+	account, ok := table.Authorize(route, x.request.Key)
+	return ok && x.keysFresh() && sameAccount(account, x.account)
+}
+
+// sameAccount reports whether two versions of the routing mean the same client account. A nil
+// account is that of requests without a key.
+func sameAccount(a, b *crroute.Account) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Name == b.Name
 }
 
 // setDeadline sets the limit to the shortest of the caller's, the route's and the default
--- a/io/crforward/key_test.go
+++ b/io/crforward/key_test.go
@@ -97,6 +97,53 @@
 	}
 }
 
+// TestKeyIsCheckedAgainBeforeSend guards against a waiting request that is sent although the
+// newest routing doesn't allow it, or for a client account that no longer holds its key.
+func TestKeyIsCheckedAgainBeforeSend(t *testing.T) {
+	anonymous := func(version uint64, yes bool, accounts ...*pb.Account) *pb.Routing {
+		m := testRouting()
+		m.Version, m.Accounts, m.RequiresKeys = version, accounts, len(accounts) > 0
+		for _, r := range m.Routes {
+			r.Anonymous = yes
+		}
+		return m
+	}
+	account := func(name string, keys ...string) *pb.Account { return &pb.Account{Name: name, Keys: keys} }
+	for _, c := range []struct {
+		name string
+		// before is in force when the request arrives, and then while it waits.
+		before *pb.Routing
+		then   []*pb.Routing
+		key    string
+		want   int
+	}{
+		{"nothing changes", anonymous(2, false, account("buyer", "k")), nil, "k", 200},
+		{"the last key is taken away", anonymous(2, false, account("buyer", "k")), []*pb.Routing{anonymous(3, false, account("buyer"))}, "k", 503},
+		{"it comes back", anonymous(2, false, account("buyer", "k")),
+			[]*pb.Routing{anonymous(3, false, account("buyer")), anonymous(4, false, account("buyer", "k"))}, "k", 200},
+		{"another account gets it", anonymous(2, false, account("buyer", "k")), []*pb.Routing{anonymous(3, false, account("desk", "k"))}, "k", 503},
+		{"the first accounts come", anonymous(2, false), []*pb.Routing{anonymous(3, false, account("buyer", "k"))}, "", 503},
+		{"the first accounts come without keys", anonymous(2, false), []*pb.Routing{anonymous(3, false, account("buyer"))}, "", 503},
+		{"the route needs a key now", anonymous(2, true, account("buyer", "k")), []*pb.Routing{anonymous(3, false, account("buyer", "k"))}, "", 503},
+		{"the route stays anonymous", anonymous(2, true, account("buyer", "k")), []*pb.Routing{anonymous(3, true, account("buyer"))}, "", 200},
+	} {
+		runFixture(t, func(r *fixture) {
+			r.state.SetRouting(c.before)
+			r.dialing = func() error {
+				for _, m := range c.then {
+					r.state.SetRouting(m)
+				}
+				r.dialing = nil
+				return nil
+			}
+			got, _ := r.send(r.t.Context(), "/book/", "", "Key", c.key)
+			if arrived := r.arrived() > 0; got.Status != c.want || arrived != (c.want == 200) {
+				t.Errorf("%s: status %d, arrived %t, want status %d", c.name, got.Status, arrived, c.want)
+			}
+		}, good)
+	}
+}
+
 // TestKeyRevokedAfterRun revokes the key while the first endpoint works on the request and
 // loses its answer. The request must not be repeated, and the caller must not be told
 // that it hasn't run.
