Accept no empty key, and no key of an account without a name

Cause: the table of keys was filled with whatever the lists hold, and a request without a key is looked up by the empty text.

Change: the table takes neither.

Result: all three lookups of TestEmptyKeyAuthorizesNobody succeeded before, and only that of the real key does now.

--- a/core/crroute/route.go
+++ b/core/crroute/route.go
@@ -157,8 +157,14 @@
 	}
 	for _, a := range m.GetAccounts() {
 		account := &Account{Name: a.GetName(), Priority: int(a.GetPriority()), HasPriority: a.Priority != nil}
+		if account.Name == "" {
+			// Endpoints couldn't tell its requests from those that need no key.
+			continue
+		}
 		for _, k := range a.GetKeys() {
-			t.accountsByKey[k] = account
+			if k != "" {
+				t.accountsByKey[k] = account
+			}
 		}
 	}
 	return t
--- a/core/crroute/route_test.go
+++ b/core/crroute/route_test.go
@@ -89,3 +89,19 @@
 		t.Errorf("an anonymous route: account %v, %t", a, ok)
 	}
 }
+
+// TestEmptyKeyAuthorizesNobody guards against requests without a key that run for an account
+// whose list of keys has an empty text, and against requests that run without the name of their
+// account.
+func TestEmptyKeyAuthorizesNobody(t *testing.T) {
+	m := routing()
+	m.Accounts = []*pb.Account{{Name: "buyer", Keys: []string{"", "k1"}}, {Keys: []string{"k2"}}}
+	table := crroute.New(m)
+	got := map[string]bool{}
+	for _, key := range []string{"", "k1", "k2"} {
+		_, got[key] = table.Authorize(table.Route("desk.example", "/"), key)
+	}
+	if diff := cmp.Diff(map[string]bool{"": false, "k1": true, "k2": false}, got); diff != "" {
+		t.Errorf("authorized, by key (-want +got):\n%s", diff)
+	}
+}
