Accept no unknown key where no key is needed

Callers would see: once the client accounts are gone from the configuration, all keys that had been taken away, and keys that no configuration ever held, work again.

Cause: without accounts the key of a request wasn't looked at.

Change: a request that has a key is accepted only if an account holds it, unless its route is anonymous. Requests without a key are served as before where none is needed.

Result: the new case of TestRequestsNeedKeyWhenNoAccountHasOne got 200 for two keys before, and gets 401 now. Tests of crroute, crforward, crrouter, platform and crsoak pass.

--- a/core/crroute/route.go
+++ b/core/crroute/route.go
@@ -230,10 +230,12 @@
 // none.
 func (t *Table) Service(name string) Service { return t.services[name] }
 
-// Authorize returns the client account of a request for a route with a key, or false if the
-// request needs a key that an account holds. The account is nil if the request needs no key.
+// Authorize returns the client account of a request for a route with a key, or false if no
+// account holds the key. The account is nil if the route is anonymous, or if keys aren't
+// required and the key is empty. A key that was taken away with all accounts doesn't become
+// valid again.
 func (t *Table) Authorize(r *Route, key string) (*Account, bool) {
-	if r.Anonymous || !t.requiresKeys {
+	if r.Anonymous || !t.requiresKeys && key == "" {
 		return nil, true
 	}
 	a := t.accountsByKey[key]
--- a/io/crforward/key_test.go
+++ b/io/crforward/key_test.go
@@ -52,6 +52,7 @@
 			{"a key", &pb.Routing{Accounts: testRouting().Accounts}, map[string]int{"k": 200, "x": 401, "": 401}},
 			{"no key", &pb.Routing{Accounts: []*pb.Account{{Name: "buyer"}}}, map[string]int{"k": 401, "x": 401, "": 401}},
 			{"no account", &pb.Routing{RequiresKeys: true}, map[string]int{"k": 401, "x": 401, "": 401}},
+			{"keys aren't needed", &pb.Routing{}, map[string]int{"k": 401, "x": 401, "": 200}},
 			{"the key again", &pb.Routing{Accounts: testRouting().Accounts}, map[string]int{"k": 200, "x": 401, "": 401}},
 		} {
 			version++
