Take a routing that can't be read for no evidence of its keys

Cause: an instance counts the age of its keys from the last read of the store, and a read of a version that couldn't be decoded, or of a list without any, counted like that of the version in force. The check of the age was thus switched off by an unreadable value.

Change: such a read is no evidence. The version in force stays for routes and for requests that need no key; those with a key are refused with 503 once the evidence is too old, until a version can be read.

--- a/io/crwatch/kinds.go
+++ b/io/crwatch/kinds.go
@@ -16,18 +16,31 @@
 )
 
 // routingKind reads the routing and puts new versions in force.
-type routingKind struct{ w *Watcher }
+type routingKind struct {
+	w *Watcher
+	// current is true if the newest version in the store was read. Nothing else is evidence: a
+	// version that can't be read may take keys away.
+	current bool
+	// listed is true from a reset until the list that follows it.
+	listed bool
+}
 
 func (k *routingKind) feed() Feed[pb.Routing] { return k.w.Routing }
 func (k *routingKind) wait() time.Duration    { return routingWait }
 func (k *routingKind) pause() time.Duration   { return 0 }
-func (k *routingKind) reset()                 {}
+func (k *routingKind) reset()                 { k.current, k.listed = false, true }
 func (k *routingKind) probes() bool           { return true }
+func (k *routingKind) read() bool             { return k.current && k.w.State.Table() != nil }
 
 func (k *routingKind) take(changes []Change[pb.Routing], at crgrant.Position) {
+	if k.listed && len(changes) == 0 {
+		k.w.Log.Warn("watch: the store holds no routing; the version in force, if any, isn't known to be current", zap.Uint64("revision", at.Revision()))
+	}
+	k.listed = false
 	for _, c := range changes {
-		if c.Value == nil || c.Removed {
-			k.w.Log.Warn("watch: the routing can't be read; the earlier version stays in force", zap.String("name", c.Name))
+		if k.current = c.Value != nil && !c.Removed; !k.current {
+			k.w.Log.Warn("watch: the routing can't be read; the version in force, if any, isn't known to be current",
+				zap.String("name", c.Name), zap.Bool("removed", c.Removed), zap.Uint64("revision", at.Revision()))
 			continue
 		}
 		if k.w.State.SetRouting(c.Value) {
@@ -40,7 +53,6 @@
 
 func (k *routingKind) evidence() *crfreshness.Evidence { return &k.w.State.Evidence }
 func (k *routingKind) oldest() time.Duration           { return ownAge }
-func (k *routingKind) read() bool                      { return k.w.State.Table() != nil }
 
 // endpointsKind reads the endpoints. Its maps have the endpoint's ID as key.
 type endpointsKind struct {
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -102,7 +102,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	w.started = time.Now()
 	var tasks sync.WaitGroup
-	tasks.Go(func() { follow(ctx, w, &routingKind{w}) })
+	tasks.Go(func() { follow(ctx, w, &routingKind{w: w}) })
 	tasks.Go(func() { follow(ctx, w, &endpointsKind{w: w}) })
 	tasks.Go(func() { follow(ctx, w, &outsKind{w: w, known: make(map[string]bool)}) })
 	tasks.Go(func() { w.announce(ctx) })
@@ -140,7 +140,7 @@
 	evidence() *crfreshness.Evidence
 	// oldest is the age of the evidence from which on an instance reads the kind itself.
 	oldest() time.Duration
-	// read reports whether the objects have been read successfully at least once.
+	// read reports whether the known objects are those of the position.
 	read() bool
 	// probes reports whether the kind is read during an outage of the store, to notice its
 	// end. The other kinds wait for the end.
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -30,9 +30,13 @@
 	revision  crgrant.Position
 	endpoints map[string]*pb.Endpoint
 	routing   *pb.Routing
-	outs      []string
-	calls     int
-	kept      []byte
+	// routingRemoved and routingMissing tell how the routing is gone: with a change, or from
+	// the list.
+	routingRemoved, routingMissing bool
+
+	outs  []string
+	calls int
+	kept  []byte
 	// saves counts the checkpoints, and registrations the registered instances.
 	saves, registrations int
 }
@@ -89,7 +93,10 @@
 	return &crwatch.Watcher{
 		State: state,
 		Routing: feed(s, func() []crwatch.Change[pb.Routing] {
-			return []crwatch.Change[pb.Routing]{{Name: "main", Value: s.routing}}
+			if s.routingMissing {
+				return nil
+			}
+			return []crwatch.Change[pb.Routing]{{Name: "main", Removed: s.routingRemoved, Value: s.routing}}
 		}),
 		Endpoints: feed(s, func() []crwatch.Change[pb.Endpoint] {
 			var list []crwatch.Change[pb.Endpoint]
