Reject an empty name of a file of client authorities

Operators would see: a listener whose client-authorities came out empty, as from a template, starts and asks for no certificates. Whoever reaches that of the operators may edit the catalogue.

Cause: the schema doesn't tell an empty text from a key that isn't set, which switches the check of certificates off.

--- a/core/crsettings/check.go
+++ b/core/crsettings/check.go
@@ -119,6 +119,10 @@
 		}
 	case TypeURL:
 		c.url(k.Path, v)
+	case TypeFile:
+		if v == "" {
+			c.problems.Addf(k.Path, "the name of the file is empty; leave the key out if no certificates are to be checked")
+		}
 	}
 	if len(k.Values) > 0 && !slices.Contains(k.Values, v) {
 		c.problems.Addf(k.Path, "not one of %s: %q", strings.Join(k.Values, ", "), v)
--- a/core/crsettings/settings_test.go
+++ b/core/crsettings/settings_test.go
@@ -181,3 +181,26 @@
 		}
 	}
 }
+
+// TestEmptyAuthoritiesAreNoSetting guards against a listener that asks for no certificates since
+// the name of its file of authorities came out empty.
+func TestEmptyAuthoritiesAreNoSetting(t *testing.T) {
+	for _, name := range []string{"caller", "peer", "operator"} {
+		const tls = `tls = { certificate = "c.pem", key = "k.pem", client-authorities = "" }`
+		address := map[string]string{"caller": "127.0.0.1:20101", "peer": "127.0.0.1:20201", "operator": "127.0.0.1:20301"}
+		file := "instance = \"noord-a-1\"\nfailure-domain = \"noord-a\"\nplatform.url = \"http://127.0.0.1:20000\"\n"
+		for _, l := range []string{"caller", "peer", "operator"} {
+			file += fmt.Sprintf("[%s]\naddress = %q\n", l, address[l])
+			if l == name {
+				file += tls + "\n"
+			} else {
+				file += "plain-text = true\n"
+			}
+		}
+		_, err := Parse([]byte(file))
+		want := crtoml.Problems{{Path: name + ".tls.client-authorities", Text: "the name of the file is empty; leave the key out if no certificates are to be checked"}}
+		if diff := cmp.Diff(error(want), err); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
