Check the client account of a request again after it has waited

Callers would see, on the product's own interface: a request that waits for its quota, or to be tried again, runs although its client account was removed meanwhile or may no longer use the service. It runs without a limit, since the limits of an account that isn't in the catalogue are zero.

Cause: the account is checked on arrival only, and Limits{} means that nothing is limited.

Change: the entry checks the account again once the quota has admitted the request, and before each new round over the shards. A call that may have run earlier still ends as unknown.

A request that waits in the queue of an owner isn't checked again yet.

--- a/io/crentry/call.go
+++ b/io/crentry/call.go
@@ -155,7 +155,7 @@
 
 // admitAndRun runs a checked call if the client account's quota admits it.
 func (e *Entry) admitAndRun(ctx context.Context, r *crcaller.CallRequest, s *pb.Service) *crcaller.CallResponse {
-	release, refused := e.admit(r.ClientAccount)
+	release, refused := e.admit(r.Service, r.ClientAccount)
 	if refused != nil {
 		return e.newCallResponse(r, refused)
 	}
@@ -202,9 +202,23 @@
 		if crbackoff.Sleep(ctx, d.After) != nil {
 			return answer
 		}
+		if _, refused := c.entry.check(c.request.Service, c.request.ClientAccount); refused != nil {
+			answer.Outcome = c.requestOutcome(refused)
+			return answer
+		}
 	}
 }
 
+// requestOutcome returns the outcome of the whole call, given that of its last sending. A call
+// that may have run earlier can't end as "not run".
+func (c *call) requestOutcome(o *crcaller.Outcome) *crcaller.Outcome {
+	if c.mayHaveRun && o.Kind == crcaller.OutcomeKind_OUTCOME_KIND_NOT_RUN {
+		// The text ends with the detail of the last sending.
+		return crrequest.Unknown(o.Reason, "an earlier sending may have run: %s", o.Detail)
+	}
+	return o
+}
+
 // tryShards tries the shards in the order that plan returns for the chat key, or for the
 // request id if the call has no chat key. It stops at a final outcome. If the call must
 // not be repeated, it also stops once an endpoint may have run it.
@@ -227,11 +241,7 @@
 			break
 		}
 	}
-	if c.mayHaveRun && answer.Outcome.Kind == crcaller.OutcomeKind_OUTCOME_KIND_NOT_RUN {
-		// The last shard didn't run the call, but an earlier one may have. The text ends
-		// with the detail of the last shard.
-		answer.Outcome = crrequest.Unknown(answer.Outcome.Reason, "an earlier sending may have run: %s", answer.Outcome.Detail)
-	}
+	answer.Outcome = c.requestOutcome(answer.Outcome)
 	return answer
 }
 
--- a/io/crentry/call_test.go
+++ b/io/crentry/call_test.go
@@ -237,3 +237,42 @@
 		t.Errorf("the requests were cancelled for %v and %v, want both for %v", context.Cause(first), context.Cause(second), errCancelled)
 	}
 }
+
+// TestAccountIsCheckedAfterWaits guards against a request of a client account that was removed
+// while the request waited: for its quota, which doesn't bind accounts that aren't there, or to
+// be tried again.
+func TestAccountIsCheckedAfterWaits(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		wait func(f *fakeEntry, remove func())
+		// walks is how often the shards are looked up.
+		walks int
+	}{
+		{"for its quota", func(f *fakeEntry, remove func()) {
+			f.Quota.Admit = func(string) (bool, time.Duration) { remove(); return true, 0 }
+		}, 0},
+		{"to be tried again", func(f *fakeEntry, remove func()) {
+			f.shards = []*crshard.Shard{{Owner: "noord-b-1"}}
+			f.OnRequestEnded = func(string, *crcaller.Outcome) {}
+			time.AfterFunc(time.Millisecond, remove)
+		}, 1},
+	} {
+		t.Run(c.name, inBubble(func(t *testing.T) {
+			f := newFakeEntry()
+			held := 0
+			f.Quota.Done = func(string) { held-- }
+			c.wait(f, func() { f.catalogue = catalogue("order-desk") })
+			admit := f.Quota.Admit
+			f.Quota.Admit = func(account string) (bool, time.Duration) { held++; return admit(account) }
+			request := callRequest("r1", 1)
+			request.NotRepeatable = false
+			end := f.ServeCall(t.Context(), request)
+			if end.Outcome.Kind != notRun || end.Outcome.Reason != crcaller.Reason_REASON_UNKNOWN_CLIENT_ACCOUNT {
+				t.Errorf("the request ended %v, want not run for its account", end.Outcome)
+			}
+			if f.walkCalls != c.walks || held != 0 {
+				t.Errorf("%d look-ups of shards, want %d; %d requests are still counted", f.walkCalls, c.walks, held)
+			}
+		}))
+	}
+}
--- a/io/crentry/chat.go
+++ b/io/crentry/chat.go
@@ -41,7 +41,7 @@
 	if refused != nil {
 		return e.newChatEnd(r, refused)
 	}
-	release, refused := e.admit(r.ClientAccount)
+	release, refused := e.admit(r.Service, r.ClientAccount)
 	if refused != nil {
 		return e.newChatEnd(r, refused)
 	}
@@ -126,6 +126,10 @@
 		if crbackoff.Sleep(ctx, d.After) != nil {
 			return c.entry.interrupted(ctx, c, end)
 		}
+		if _, refused := c.entry.check(c.request.Service, c.request.ClientAccount); refused != nil {
+			end.Outcome = c.requestOutcome(refused, 0)
+			return end
+		}
 	}
 }
 
--- a/io/crentry/entry.go
+++ b/io/crentry/entry.go
@@ -222,13 +222,18 @@
 	return false
 }
 
-// admit asks the client account's quota to admit a request. The caller of admit must
-// call release when the request has ended, so that it no longer counts as running.
-func (e *Entry) admit(account string) (release func(), refused *crcaller.Outcome) {
+// admit asks the client account's quota to admit a request for a service. The request may wait
+// meanwhile, so its account is checked again. The caller of admit must call release when the
+// request has ended, so that it no longer counts as running.
+func (e *Entry) admit(service, account string) (release func(), refused *crcaller.Outcome) {
 	allowed, retryAfter := e.Quota.Admit(account)
 	if !allowed {
 		return nil, crrequest.NotRun(crcaller.Reason_REASON_QUOTA, retryAfter, "client account %q is over its limits", account)
 	}
+	if _, refused := e.check(service, account); refused != nil {
+		e.Quota.Done(account)
+		return nil, refused
+	}
 	return func() { e.Quota.Done(account) }, nil
 }
 
