Let no client account get all services by an empty list

Operators would see, on the product's own interface: the last service that a client account may use is taken from its list, or is removed from the catalogue, and the account may use all services.

Cause: an empty list of services means all of them, as the schema says.

Change: a commit, and a dry run of it, is invalid if the list of an account becomes empty, unless the account sets the new field all-services. Accounts whose list was always empty may use all services as before, so that stored catalogues and earlier releases agree. Beside a list, the field is a problem.

--- a/core/crcatalogue/commit.go
+++ b/core/crcatalogue/commit.go
@@ -102,6 +102,9 @@
 	if c.base.version != p.Base {
 		return c.conflictResult(c.base)
 	}
+	if problems := ValidateChange(c.base, p.Wanted); len(problems) > 0 {
+		return CommitResult{Outcome: Invalid, Problems: problems}
+	}
 	c.next, c.change = c.base.Next(p.Author, p.Note, p.Wanted)
 	c.change.At = timestamppb.New(p.At)
 	if len(c.change.GetRecords()) == 0 {
--- a/core/crcatalogue/validate.go
+++ b/core/crcatalogue/validate.go
@@ -59,6 +59,25 @@
 	return v.problems
 }
 
+// ValidateChange returns the problems of a change from one version to another catalogue, which
+// is valid by itself: the services of a client account may not become all services merely since
+// its list became empty.
+func ValidateChange(from *Set, to *pb.Catalogue) []Problem {
+	var problems []Problem
+	for i, a := range to.GetClientAccounts() {
+		old, ok := from.ClientAccount(a.GetName())
+		if !ok || len(old.GetServices()) == 0 || len(a.GetServices()) > 0 || a.GetAllServices() {
+			continue
+		}
+		problems = append(problems, Problem{
+			Path: fmt.Sprintf("client-accounts[%d].services", i),
+			Message: fmt.Sprintf("is empty, which allows all services; it listed %d before. Set all-services, or remove the account",
+				len(old.GetServices())),
+		})
+	}
+	return problems
+}
+
 // endpointAddress is the address of an endpoint of a service.
 type endpointAddress struct {
 	service string
@@ -284,6 +303,9 @@
 	if r := a.GetRate(); !finite(r) || r < 0 {
 		v.addf(path+".rate", "%v is not a rate of zero or more", r)
 	}
+	if n := len(a.GetServices()); n > 0 && a.GetAllServices() {
+		v.addf(path+".all-services", "is true beside a list of %d services", n)
+	}
 	seen := make(map[string]bool)
 	for i, s := range a.GetServices() {
 		item := fmt.Sprintf("%s.services[%d]", path, i)
--- a/io/crdaemon/operator.go
+++ b/io/crdaemon/operator.go
@@ -96,6 +96,9 @@
 	if set.Version() != p.BaseVersion {
 		return croperator.Commit{Result: croperator.Conflict, Version: set.Version()}
 	}
+	if problems := crcatalogue.ValidateChange(set, p.Catalogue); len(problems) > 0 {
+		return croperator.Commit{Result: croperator.Invalid, Detail: detail(problems, nil)}
+	}
 	_, change := set.Next(p.Author, p.Note, p.Catalogue)
 	end := croperator.Commit{Result: croperator.Committed, Version: p.BaseVersion}
 	for _, r := range change.GetRecords() {
--- a/io/crentry/entry.go
+++ b/io/crentry/entry.go
@@ -208,7 +208,7 @@
 	return s, nil
 }
 
-// mayUse reports whether a client account may use a service. An account without a list
+// mayUse reports whether a client account may use a service. An account with an empty list
 // of services may use all.
 func mayUse(a *pb.ClientAccount, service string) bool {
 	if len(a.Services) == 0 {
