Answer requests that a planned stop would cut

Cause: whether a request outlasts the stop was asked when its header had been read, before its body; and at the end of the grace the connections were closed under the requests in progress.

Change: it is asked again before the first send, and such a request is refused as not run. 200 ms before the process ends, requests that still wait for an answer get one: 503 if they weren't sent, 502 otherwise. That isn't held against their endpoints. Answers that have begun go on.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -153,6 +153,7 @@
 
 	// crashProbes joins the probes of an endpoint that may have crashed.
 	crashProbes singleflight.Group
+	waits       waits
 }
 
 // exchange is the state of one caller's request while it is served.
@@ -241,13 +242,18 @@
 	}
 	x.setDeadline()
 	if x.outlastsStop() {
-		x.writer.Header().Set("Connection", "close")
-		x.refuse("leaving", leavingRetryAfter)
+		x.refuseLeaving()
 		return false
 	}
 	return x.readBody()
 }
 
+// refuseLeaving refuses a request that would outlast the process.
+func (x *exchange) refuseLeaving() {
+	x.writer.Header().Set("Connection", "close")
+	x.refuse("leaving", leavingRetryAfter)
+}
+
 // outlastsStop reports whether the request's limit is after the planned end of the
 // process, which would cut the request off.
 func (x *exchange) outlastsStop() bool {
@@ -392,13 +398,18 @@
 	return true
 }
 
-// context sets the lifetime and returns a context that ends with it or at the deadline.
+// context sets the lifetime and returns a context that ends with it, at the deadline or with
+// EndWaits.
 func (x *exchange) context() (context.Context, context.CancelFunc) {
 	lifetime, cancel := context.WithDeadline(x.incoming.Context(), x.limit)
-	ctx, cancelWait := context.WithDeadline(lifetime, x.deadline)
+	wait, cancelWait := context.WithCancelCause(lifetime)
+	ctx, cancelDeadline := context.WithDeadline(wait, x.deadline)
+	end := x.waits.add(cancelWait)
 	x.lifetime = lifetime
 	return ctx, func() {
-		cancelWait()
+		end()
+		cancelDeadline()
+		cancelWait(nil)
 		cancel()
 	}
 }
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -42,10 +42,18 @@
 	// retryAfter is the Retry-After time if no endpoint has run the request.
 	retryAfter := defaultRetryAfter
 	for {
-		if x.sent.Load() > 0 && !x.mayRepeat() {
+		if x.sent.Load() > 0 && (errors.Is(context.Cause(ctx), errLeaving) || !x.mayRepeat()) {
 			break
 		}
 		grant := x.grant(ctx)
+		if x.sent.Load() == 0 && (x.outlastsStop() || errors.Is(context.Cause(ctx), errLeaving)) {
+			// The stop began while the body was read or an endpoint was waited for.
+			if grant.Endpoint != nil {
+				grant.Drop(time.Now())
+			}
+			x.refuseLeaving()
+			return
+		}
 		if grant.Endpoint == nil {
 			if x.sent.Load() == 0 {
 				x.refuse(grant.Reason.String(), grant.RetryAfter)
@@ -150,6 +158,9 @@
 		x.writeAnswer(x.failure)
 	case !x.trace.mayHaveRun:
 		x.refuse("endpoints-refused", retryAfter)
+	case errors.Is(context.Cause(ctx), errLeaving):
+		x.writer.Header().Set("Connection", "close")
+		x.fail(http.StatusBadGateway, "leaving", nil)
 	case ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, "timeout", nil)
 	default:
@@ -352,7 +363,7 @@
 	switch {
 	case failure.Unreachable:
 		x.endGrant(g, crhealth.Unreachable)
-	case !failure.Sent:
+	case !failure.Sent, errors.Is(err, errLeaving):
 		g.Drop(time.Now())
 	default:
 		x.endGrant(g, crhealth.Broken)
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -345,6 +345,9 @@
 	quiet := time.Time{}
 	for time.Now().Before(stopAt) && ctx.Err() == nil {
 		_ = crbackoff.Sleep(ctx, 50*time.Millisecond)
+		if time.Until(stopAt) < endWaitsBefore {
+			r.forwarder.EndWaits()
+		}
 		if r.Metrics.InFlight.Value() > 0 {
 			quiet = time.Time{}
 			continue
@@ -360,6 +363,10 @@
 	return stopAt
 }
 
+// endWaitsBefore is how long before its end the process gives up the requests that wait for an
+// answer, so that an error reaches their callers.
+const endWaitsBefore = 200 * time.Millisecond
+
 // quietBeforeStop is how long no request may have come before the process ends:
 // callers that keep an old answer may still send some.
 const quietBeforeStop = 1200 * time.Millisecond
