Try more endpoints while crashed ones refuse at once

Callers saw: 503 endpoints-unreachable for a sound request beside prompts that crash endpoints, though 13 of 16 endpoints were sound.

Cause: a request is given up after three attempts that reached no endpoint. Endpoints that have just crashed count as holders of its prompt until they are ejected, so that three of them may come first.

Change: attempts that fail at once, within 150 ms together, go on to up to eight endpoints. Attempts that were withdrawn, or took longer, are bounded by three as before.

--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -28,8 +28,12 @@
 	earlyRepeatTargets = 2.5
 	// minEarlyRepeatDelay is the lower bound of that time.
 	minEarlyRepeatDelay = 250 * time.Millisecond
-	// maxUnsentAttempts bounds the attempts in which a request didn't reach an endpoint.
+	// maxUnsentAttempts bounds the attempts in which a request didn't reach an endpoint, and
+	// maxQuickAttempts those that all failed within quickAttempts, as with endpoints that
+	// have crashed: their addresses refuse connections at once.
 	maxUnsentAttempts = 3
+	maxQuickAttempts  = 8
+	quickAttempts     = 150 * time.Millisecond
 )
 
 // run sends the request to one endpoint after another until it has an answer or may not
@@ -39,6 +43,8 @@
 	defer cancel()
 	x.State.CountRequest(time.Now(), x.service.Name)
 	unsent := 0
+	// begun is when the first attempt began that didn't reach an endpoint, or may not.
+	var begun time.Time
 	// retryAfter is the Retry-After time if no endpoint has run the request.
 	retryAfter := defaultRetryAfter
 	for {
@@ -65,12 +71,17 @@
 		x.trace.attempts++
 		x.trace.recordGrant(grant, time.Since(x.start))
 		x.tried = append(x.tried, grant.Endpoint.Key)
+		if unsent == 0 {
+			begun = time.Now()
+		}
 		result := x.attempt(ctx, grant, x.request.LastEvent)
 		switch result.verdict {
 		case done:
 			return
 		case notSent, withdrawn:
-			if unsent++; unsent < maxUnsentAttempts && x.keyValid() {
+			unsent++
+			quick := result.verdict == notSent && unsent < maxQuickAttempts && time.Since(begun) < quickAttempts
+			if (quick || unsent < maxUnsentAttempts) && x.keyValid() {
 				if result.verdict == withdrawn {
 					x.tried = slices.DeleteFunc(x.tried, func(k crledger.Key) bool { return k == grant.Endpoint.Key })
 				}
