Check the client account after a wait in the queue of an owner

Callers would see: a request that waits for an endpoint, two seconds unless its service says otherwise, runs although its client account was removed meanwhile.

Cause: only the entry checks accounts, and not while an owner holds the request.

Change: the owner compares what its catalogue allows before and after the wait, and gives the place back if the right is gone. An account that it doesn't know is left to the entry, whose catalogue may be newer.

--- a/core/crcatalogue/set.go
+++ b/core/crcatalogue/set.go
@@ -55,6 +55,13 @@
 	return v, v != nil
 }
 
+// MayUse reports whether the client account exists and may use a service. An account with an
+// empty list of services may use all.
+func (s *Set) MayUse(account, service string) bool {
+	a, ok := s.ClientAccount(account)
+	return ok && (len(a.GetServices()) == 0 || slices.Contains(a.GetServices(), service))
+}
+
 // ClientAccountCount returns the number of client accounts.
 func (s *Set) ClientAccountCount() int { return s.accounts }
 
--- a/io/crdaemon/build.go
+++ b/io/crdaemon/build.go
@@ -137,6 +137,10 @@
 			Scheme: "http",
 			Late:   func() { d.Metrics.LateAnswers.Add(1) },
 		},
+		MayUse: func(account, service string) bool {
+			set := d.follower.Current()
+			return set != nil && set.MayUse(account, service)
+		},
 		Baseline:  d.baseline(),
 		OnContext: d.moveLate,
 		Log:       d.Log,
--- a/io/crentry/entry.go
+++ b/io/crentry/entry.go
@@ -198,30 +198,15 @@
 	if !ok {
 		return nil, crrequest.NotRun(crcaller.Reason_REASON_UNKNOWN_SERVICE, 0, "the catalogue has no service %q", service)
 	}
-	a, ok := set.ClientAccount(account)
-	if !ok {
+	if _, ok := set.ClientAccount(account); !ok {
 		return nil, crrequest.NotRun(crcaller.Reason_REASON_UNKNOWN_CLIENT_ACCOUNT, 0, "the catalogue has no client account %q", account)
 	}
-	if !mayUse(a, service) {
+	if !set.MayUse(account, service) {
 		return nil, crrequest.NotRun(crcaller.Reason_REASON_UNKNOWN_CLIENT_ACCOUNT, 0, "client account %q may not use service %q", account, service)
 	}
 	return s, nil
 }
 
-// mayUse reports whether a client account may use a service. An account with an empty list
-// of services may use all.
-func mayUse(a *pb.ClientAccount, service string) bool {
-	if len(a.Services) == 0 {
-		return true
-	}
-	for _, s := range a.Services {
-		if s == service {
-			return true
-		}
-	}
-	return false
-}
-
 // admit asks the client account's quota to admit a request for a service. The request may wait
 // meanwhile, so its account is checked again. The caller of admit must call release when the
 // request has ended, so that it no longer counts as running.
--- a/io/crowner/owner.go
+++ b/io/crowner/owner.go
@@ -51,6 +51,8 @@
 	// Endpoints sends requests to endpoints.
 	Endpoints *crendpoint.Client
 	Log       *zap.Logger
+	// MayUse reports whether a client account may use a service by this instance's catalogue.
+	MayUse func(account, service string) bool
 	// Baseline replaces admission if it isn't nil.
 	Baseline *Baseline
 	// OnAnswer, if not nil, is called for each answered chat with the number of
@@ -138,11 +140,18 @@
 	o.deliverDecisions()
 	o.mu.Unlock()
 	if ch != nil {
+		// An account that isn't known here may be newer than this instance's catalogue.
+		allowed := o.MayUse(r.Account, r.Service)
 		var outcome *crcaller.Outcome
 		d, outcome = o.awaitDecision(ctx, d.Waiter, ch)
 		if outcome != nil {
 			return cradmit.Grant{}, outcome
 		}
+		if d.Verdict == cradmit.Granted && allowed && !o.MayUse(r.Account, r.Service) {
+			o.done(r.Service, d.Grant, cradmit.Observation{Outcome: cradmit.Cancelled})
+			return cradmit.Grant{}, crrequest.NotRun(crcaller.Reason_REASON_UNKNOWN_CLIENT_ACCOUNT, 0,
+				"client account %q may no longer use service %q", r.Account, r.Service)
+		}
 	}
 	if d.Verdict == cradmit.Refused {
 		return cradmit.Grant{}, refusal(d)
