Look up the route by the path that is sent on

Cause: the route was looked up by the decoded path, and the target was sent on as it had come. Absolute targets were sent on as absolute ones.

Change: Target gives both from the bytes that came, and nothing is decoded or cleaned. An absolute target is sent on as its path and query.

--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -169,6 +169,9 @@
 	deadline, limit time.Time
 	// lifetime ends at the limit or when the caller disconnects.
 	lifetime context.Context
+	// path and target are those of Target.
+	path, target string
+
 	route    *crroute.Route
 	service  crroute.Service
 	account  *crroute.Account
@@ -267,7 +270,8 @@
 // findRoute sets the route, the service and, for a model engine, the context links. It
 // returns false after it has answered a request for which there is no route or service.
 func (x *exchange) findRoute() bool {
-	x.route = x.table.Route(x.incoming.Host, x.incoming.URL.Path)
+	x.path, x.target = Target(x.incoming)
+	x.route = x.table.Route(x.incoming.Host, x.path)
 	if x.route == nil {
 		x.deny(http.StatusNotFound, "no-route")
 		return false
@@ -332,7 +336,7 @@
 	if table == x.table {
 		return x.keysFresh()
 	}
-	route := table.Route(x.incoming.Host, x.incoming.URL.Path)
+	route := table.Route(x.incoming.Host, x.path)
 	if route == nil {
 		route = x.route
 	}
--- a/io/crforward/header.go
+++ b/io/crforward/header.go
@@ -45,3 +45,16 @@
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
+
+// Target returns the path of a request as its caller sent it, by which its route is looked up, and
+// the target that an endpoint gets: the path followed by the query. Nothing is decoded or
+// cleaned, since an endpoint may do that in another way.
+func Target(r *http.Request) (path, target string) {
+	target = r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		// The target is absolute, or a form without a path.
+		target = r.URL.RequestURI()
+	}
+	path, _, _ = strings.Cut(target, "?")
+	return path, target
+}
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -278,7 +278,7 @@
 	sendCtx, settle := x.attemptContext(ctx)
 	answer, err := x.Client.Send(sendCtx, crhop.Endpoint{Key: g.Endpoint.Key, Address: g.Endpoint.Address}, &crhop.Request{
 		Method: x.incoming.Method,
-		Target: x.incoming.RequestURI,
+		Target: x.target,
 		Host:   x.incoming.Host,
 		Header: header,
 		Body:   x.body,
