Take all keys away in the soak

Cause: the soak left each account its newest key, and so never met requests that need no key because nobody holds one.

Change: a step takes all keys away for more than the time in which revoked keys may work, and gives them back, in one of three seeds; not beside daemons of the release before, which has the fault. What runs at a server in between, sent later than that time after the acknowledgement, breaks the promise.

--- a/stand/crsoak/plan.go
+++ b/stand/crsoak/plan.go
@@ -35,6 +35,7 @@
 	StoreRestore  Action = "store-restore"
 	RoutingChange Action = "routing-change"
 	KeyTaken      Action = "key-taken"
+	AllKeysTaken  Action = "all-keys-taken"
 	RoutingStorm  Action = "routing-storm"
 )
 
@@ -43,7 +44,7 @@
 	ServerCrash, ServerDrain, ServerTrouble, ServerLimit,
 	LinkDelay, LinkSilence, LinkOneWay, LinkReset,
 	StoreDown, StoreReset, StoreLost, StoreForget, StoreSilence, StoreCutOne, StoreRestore,
-	RoutingChange, KeyTaken, RoutingStorm,
+	RoutingChange, KeyTaken, RoutingStorm, AllKeysTaken,
 }
 
 // Step is one fault of a plan.
@@ -75,6 +76,9 @@
 	longest = 4 * time.Second
 	// seriesOf is the chance, in per cent, that a fault comes again at once.
 	seriesOf = 25
+	// allKeysOf is how many seeds there are to one in which all keys may be taken away, since
+	// little else is served meanwhile.
+	allKeysOf = 3
 )
 
 // Plan returns the faults of a seed for a load of a length.
@@ -90,6 +94,12 @@
 			// Longer than a key may work that was taken away meanwhile.
 			s.For *= 2
 		}
+		if s.Action == AllKeysTaken {
+			s.For += revocation
+			if seed%allKeysOf != 0 {
+				s.Action = KeyTaken
+			}
+		}
 		steps = append(steps, s)
 		if random.IntN(100) < seriesOf {
 			s.At += time.Duration(random.Int64N(int64(time.Second)))
--- a/stand/crsoak/report.go
+++ b/stand/crsoak/report.go
@@ -71,6 +71,9 @@
 		if at, gone := w.takenAt(c.key); gone && c.sent.Sub(at) > revocation {
 			r.broken(c, "ran though sent %s after its key was taken away", c.sent.Sub(at))
 		}
+		if at, gone := w.allTakenAt(run.At); gone && c.sent.Sub(at) > revocation {
+			r.broken(c, "ran though sent %s after all keys were taken away", c.sent.Sub(at))
+		}
 	}
 }
 
--- a/stand/crsoak/soak.go
+++ b/stand/crsoak/soak.go
@@ -271,6 +271,12 @@
 		}
 	case KeyTaken:
 		return w.take(s.Target)
+	case AllKeysTaken:
+		if w.previous {
+			// The earlier release needs no keys then.
+			return nil
+		}
+		return w.takeAll(s.For)
 	}
 	return nil
 }
--- a/stand/crsoak/world.go
+++ b/stand/crsoak/world.go
@@ -27,6 +27,10 @@
 
 	mu      sync.Mutex
 	version int
+	// keyless counts the steps that keep all keys taken away, and keylessSpans are the spans
+	// of those that are over.
+	keyless      int
+	keylessSpans []span
 	// rollout is the roll-out that was played; nil without one.
 	rollout *played
 	// restores is true if the store may come back from a copy. It doesn't beside a roll-out,
@@ -250,8 +254,9 @@
 	keys := make(map[string][]string)
 	for a := range accounts {
 		name := fmt.Sprint("account-", a)
+		keys[name] = nil
 		for g := range generations {
-			if _, gone := w.taken[keyOf(a, g)]; !gone {
+			if _, gone := w.taken[keyOf(a, g)]; !gone && w.keyless == 0 {
 				keys[name] = append(keys[name], keyOf(a, g))
 			}
 		}
@@ -278,6 +283,37 @@
 	return err
 }
 
+// takeAll takes all keys away, from an acknowledgement on, and gives them back after a time.
+func (w *world) takeAll(d time.Duration) error {
+	w.mu.Lock()
+	w.keyless++
+	w.version += 3
+	err := w.write()
+	s := span{from: time.Now()}
+	w.mu.Unlock()
+	time.Sleep(d)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.to = time.Now()
+	w.keylessSpans = append(w.keylessSpans, s)
+	w.keyless--
+	w.version += 3
+	return errors.Join(err, w.write())
+}
+
+// allTakenAt returns when all keys had been taken away that a request which arrived at a server
+// at a time might have had.
+func (w *world) allTakenAt(arrived time.Time) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.keylessSpans {
+		if arrived.After(s.from) && arrived.Before(s.to) {
+			return s.from, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // takenAt returns when a key was taken away.
 func (w *world) takenAt(key string) (time.Time, bool) {
 	w.mu.Lock()
