--- a/review/second/platform/client.go
+++ b/review/second/platform/client.go
@@ -9,25 +9,22 @@
 	"time"
 )
 
-// The prefixes of the routes: requests that may be repeated, those that may not, streams that may
-// be resumed and those that may not.
+// The prefixes of the routes: streams that may be resumed, and those that may not.
 const (
-	readPrefix  = "/read/"
-	bookPrefix  = "/book/"
 	draftPrefix = "/draft/"
 	replyPrefix = "/reply/"
 
 	host    = "desk.example"
-	service = "order-app"
+	service = "desk-llm"
 	apiKey  = "n2ctnfzs989anu6wsjnb"
 )
 
 // routing returns the spec of a configuration.
 func routing(version int) any {
 	type m = map[string]any
-	route := func(prefix, kind string, attempts int, timeout, target time.Duration, resumable bool) m {
+	route := func(prefix string, attempts int, timeout, target time.Duration, resumable bool) m {
 		return m{
-			"Name": "r-" + strings.Trim(prefix, "/"), "Host": host, "PathPrefix": prefix, "Kind": kind, "Service": service,
+			"Name": "r-" + strings.Trim(prefix, "/"), "Host": host, "PathPrefix": prefix, "Kind": "streaming", "Service": service,
 			"TimeoutMs": timeout.Milliseconds(), "SloMs": target.Milliseconds(), "GapTargetMs": 600, "MaxAttempts": attempts,
 			"Priority": 0, "Anonymous": false, "Sticky": false, "Resumable": resumable,
 		}
@@ -35,10 +32,8 @@
 	return m{
 		"Version": version,
 		"Routes": []m{
-			route(readPrefix, "idempotent", 2, 800*time.Millisecond, 120*time.Millisecond, false),
-			route(bookPrefix, "non_idempotent", 1, 800*time.Millisecond, 120*time.Millisecond, false),
-			route(draftPrefix, "streaming", 2, 12*time.Second, time.Second, true),
-			route(replyPrefix, "streaming", 1, 10*time.Second, 1200*time.Millisecond, false),
+			route(draftPrefix, 2, 12*time.Second, time.Second, true),
+			route(replyPrefix, 1, 10*time.Second, 1200*time.Millisecond, false),
 		},
 		"Services": []m{{
 			"Name": service, "HealthPath": "/healthz", "MaxConns": 370, "Protocol": "h1", "Tls": false,
@@ -66,7 +61,7 @@
 }
 
 // send sends a request and reads the answer to its end.
-func (c *client) send(front, method, path, id, prompt string, deadline time.Duration) answer {
+func (c *client) send(front, method, path, id string, deadline time.Duration) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+front+path, nil)
@@ -77,10 +72,6 @@
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	r.Header.Set("Authorization", "Bearer "+apiKey)
-	if prompt != "" {
-		r.Header.Set("X-Model", "m")
-		r.Header.Set("X-Prompt-Prefix", prompt)
-	}
 	c.rec.printf("client sends request %s to %s%s", id, front, path)
 	response, err := c.http.Do(r)
 	if err != nil {
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -14,7 +14,6 @@
 // cases are the cases by their names. Each returns what broke the rule.
 var cases = map[string]func(rec *record, trouble bool) (broken []string, err error){
 	"stopped-stream": stoppedStream,
-	"failed-booking": failedBooking,
 }
 
 func main() {
