Log the load that endpoints state beside the count they were chosen by

An instance knows the requests of the others as of some time ago. Its log had that count (in-flight) and its mean, but nothing to compare it with: whether a count was old, or requests weren't counted at all, could only be found out by joining the lines of all instances. The line of a request now has stated-in-flight as well, the running and waiting requests that the endpoint stated in its answer. TestStatedLoadIsLogged.

--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -390,6 +390,9 @@
 	}
 	if statement, ok := x.Codec.Gauge(answer.Header); ok {
 		g.RecordGauge(time.Now(), statement)
+		if g == x.trace.grant {
+			x.trace.stated = &statement
+		}
 	}
 }
 
--- a/io/crforward/times_test.go
+++ b/io/crforward/times_test.go
@@ -101,3 +101,20 @@
 		})
 	}
 }
+
+// TestStatedLoadIsLogged checks that the log has the load that an endpoint stated beside the
+// count that it was chosen by.
+func TestStatedLoadIsLogged(t *testing.T) {
+	runFixture(t, func(r *fixture) {
+		core, logs := observer.New(zap.InfoLevel)
+		r.forwarder.Log = zap.New(core)
+		r.forwarder.Codec.Gauge = func(http.Header) (crgauge.Statement, bool) {
+			return crgauge.Statement{Running: 6, Waiting: 3, Slots: 8}, true
+		}
+		r.send(r.t.Context(), "/book/", "")
+		got := logs.FilterMessage("entry: request ended").All()[0].ContextMap()
+		if got["in-flight"] != int64(0) || got["stated-in-flight"] != int64(9) {
+			t.Errorf("in-flight %v and stated-in-flight %v are logged, want 0 and 9", got["in-flight"], got["stated-in-flight"])
+		}
+	}, good)
+}
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"crocusrack/core/crcontext"
+	"crocusrack/core/crgauge"
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crlimit"
@@ -40,6 +41,8 @@
 	grant       *crgrant.Grant
 	// grantDelay is the time from the request's arrival to its last grant.
 	grantDelay time.Duration
+	// stated is what the endpoint of the grant stated of its load in its last answer, or nil.
+	stated *crgauge.Statement
 	// headerAt is when the header of a stream was written.
 	headerAt time.Time
 	// stream holds the times of the events of a stream. It is nil before a stream begins.
@@ -49,7 +52,7 @@
 // recordGrant records the grant of the attempt that is waited for and the time since the
 // request's arrival.
 func (t *trace) recordGrant(g *crgrant.Grant, after time.Duration) {
-	t.grant, t.grantDelay = g, after
+	t.grant, t.grantDelay, t.stated = g, after, nil
 }
 
 // recordHeader records that the header of a stream is written now.
@@ -103,6 +106,9 @@
 	if g := x.trace.grant; g != nil {
 		fields = append(fields, zap.Duration("granted-ms", x.trace.grantDelay))
 		fields = append(fields, grantFields(g)...)
+		if stated := x.trace.stated; stated != nil {
+			fields = append(fields, zap.Int("stated-in-flight", stated.Running+stated.Waiting))
+		}
 	}
 	if len(x.links) > 0 {
 		fields = append(fields, zap.String("context", strconv.FormatUint(crcontext.Subject(x.links), 16)))
