Log the age of the counts that a placement used

Two hypotheses on endpoints over twice the mean, counts that are old and counts that are missing, look the same in the log: the known count is below the stated one. The line of a request now has counts-age-ms, the age of the oldest report of others' requests that the placement used. TestLedger compares it with the model.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -232,6 +232,9 @@
 	// NewVersion is true if the endpoint runs a version that the service's traffic moves
 	// to.
 	NewVersion bool
+	// CountsAge is the age of the oldest report in use of the requests of others. It is zero if
+	// there is none.
+	CountsAge time.Duration
 	// started is the time of the grant, and startElapsed the reading of State.Elapsed at
 	// that time.
 	started      time.Time
@@ -263,6 +266,9 @@
 		s.observeLoad(now, a, choice)
 	}
 	g.Choice, g.NewVersion = choice, newVersion
+	if oldest := s.work.Oldest(); !oldest.IsZero() {
+		g.CountsAge = now.Sub(oldest)
+	}
 	if choice.Endpoint == nil {
 		if choice.Reason != crplace.PrefillInProgress {
 			g.RetryAfter = s.retryAfter(now, a, choice)
--- a/core/crledger/ledger_test.go
+++ b/core/crledger/ledger_test.go
@@ -49,10 +49,20 @@
 				for name := range others {
 					if heard[name].Before(since) {
 						delete(others, name)
+						delete(heard, name)
 					}
 				}
 			},
 			"": func(t *rapid.T) {
+				var oldest time.Time
+				for _, at := range heard {
+					if oldest.IsZero() || at.Before(oldest) {
+						oldest = at
+					}
+				}
+				if got := l.Oldest(); !got.Equal(oldest) {
+					t.Fatalf("the oldest report is of %s, want %s", got, oldest)
+				}
 				for k := crledger.Key(1); k <= 3; k++ {
 					want := own[k]
 					for _, work := range others {
--- a/core/crledger/reported.go
+++ b/core/crledger/reported.go
@@ -72,6 +72,18 @@
 	return ok
 }
 
+// Oldest returns the time of the oldest report that is in use, or the zero time if there is
+// none.
+func (r *Reported) Oldest() time.Time {
+	var oldest time.Time
+	for _, o := range r.reports {
+		if oldest.IsZero() || o.at.Before(oldest) {
+			oldest = o.at
+		}
+	}
+	return oldest
+}
+
 // Sums returns the sums of the counts in own and of those of the other instances for which
 // want returns true. It doesn't change own.
 func (r *Reported) Sums(own map[Key]int, want func(instance string) bool) map[Key]int {
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -146,6 +146,7 @@
 		zap.String("endpoint", g.Endpoint.ID),
 		zap.Int("in-flight", g.InFlight),
 		zap.Float64("mean", g.MeanInFlight),
+		zap.Duration("counts-age-ms", g.CountsAge),
 	}
 	if g.NewVersion {
 		fields = append(fields, zap.String("new-version", g.Endpoint.Version))
