--- a/core/crgrant/bound_test.go
+++ b/core/crgrant/bound_test.go
@@ -60,6 +60,8 @@
 	// shared counts the shared tokens of all prompts, and lacked those that the endpoints
 	// didn't hold.
 	lacked, shared int
+	// observe is called between two ticks. It may be nil.
+	observe func()
 }
 
 // moment is the arrival of a request at an endpoint.
@@ -107,6 +109,9 @@
 			next := heap.Pop(&l.pending).(occurrence)
 			next.run(next.at)
 		}
+		if l.observe != nil {
+			l.observe()
+		}
 	}
 }
 
--- a/core/crledger/reported.go
+++ b/core/crledger/reported.go
@@ -72,11 +72,13 @@
 	return ok
 }
 
-// Oldest returns the time of the oldest report that is in use, or the zero time if there is
-// none.
+// Oldest returns the time of the oldest report with a count, or the zero time if there is none.
 func (r *Reported) Oldest() time.Time {
 	var oldest time.Time
 	for _, o := range r.reports {
+		if len(o.counts) == 0 {
+			continue
+		}
 		if oldest.IsZero() || o.at.Before(oldest) {
 			oldest = o.at
 		}
