--- a/core/crgrant/digest_test.go
+++ b/core/crgrant/digest_test.go
@@ -37,6 +37,9 @@
 	// pass returns a message as it arrives, or nil if it is lost. It may be nil, and may
 	// change the message.
 	pass func(from, to string, m *pb.Report) *pb.Report
+	// earlier holds the instances of an earlier release, which pass messages on to all that they
+	// are asked to.
+	earlier map[string]bool
 	// behind is called when an instance hears that another has newer data. It may be nil.
 	behind func(name, other string)
 }
@@ -91,6 +94,12 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	if f.earlier[to] && len(m.GetPassTo()) > 0 {
+		for _, address := range m.GetPassTo() {
+			f.deliver(to, f.name(netip.MustParseAddrPort(address)), &pb.Report{From: m.GetFrom(), Digest: m.GetDigest(), Bulletin: m.GetBulletin(), Forwarded: true})
+		}
+		h.Forward = nil
+	}
 	for _, d := range h.Forward {
 		f.deliver(to, f.name(d.To), d.Report)
 	}
