Assume requests that other instances haven't reported yet

Callers met endpoints that held over twice the mean of their service. Instances placed by counts that are as old everywhere: all that prefer an endpoint whose count is below the bound, or take the least loaded one, send to it until the next report.

A placement now adds to the count of each endpoint a number of unreported requests, drawn at random up to what an average endpoint gets while the counts are as old as they are. So instances choose differently, the fewer choose an endpoint the nearer it is to the bound, and more so the older counts are: after lost reports, and for requests that take little time. Nothing is told, and an instance alone counts exactly as before.

--- a/core/crgrant/bound_test.go
+++ b/core/crgrant/bound_test.go
@@ -62,6 +62,59 @@
 	lacked, shared int
 	// observe is called between two ticks. It may be nil.
 	observe func()
+	// changes are made during the load, in their order.
+	changes []change
+	// inTouch holds the times from which requests of disturbed instances count again.
+	inTouch map[string]time.Time
+}
+
+// change is a change of the fleet some time after the load has begun.
+type change struct {
+	after time.Duration
+	run   func()
+}
+
+// contact is the time after a disturbance from which an instance is in touch again.
+const contact = 4 * time.Second
+
+// disturb keeps the requests of an instance out of the counts until it is in touch again.
+func (l *chatLoad) disturb(name string) {
+	if l.inTouch == nil {
+		l.inTouch = map[string]time.Time{}
+	}
+	l.inTouch[name] = l.now.Add(contact)
+}
+
+// restartAll replaces all instances by such that know nothing but two others.
+func (l *chatLoad) restartAll() {
+	for i, name := range l.names {
+		n := newNode(i)
+		n.Self, n.Run = l.nodes[name].Self, l.nodes[name].Run+uint64(len(l.names))
+		n.SetEndpoints(l.now, 2, l.endpoints)
+		n.SetRouting(&pb.Routing{Version: 3})
+		for _, other := range l.names[:2] {
+			n.Add(l.now, l.nodes[other].Self)
+		}
+		l.nodes[name] = n
+		l.disturb(name)
+	}
+}
+
+// cutOff loses all messages from and to some instances for a while.
+func (l *chatLoad) cutOff(names []string, length time.Duration) {
+	until, cut := l.now.Add(length), map[string]bool{}
+	for _, name := range names {
+		cut[name] = true
+	}
+	l.pass = func(from, to string, m *pb.Report) *pb.Report {
+		if l.now.Before(until) && (cut[from] || cut[to]) {
+			if cut[from] {
+				l.disturb(from)
+			}
+			return nil
+		}
+		return m
+	}
 }
 
 // moment is the arrival of a request at an endpoint.
@@ -107,6 +160,10 @@
 	}
 	const tick = 200 * time.Millisecond
 	for end := begin.Add(length); l.now.Before(end); {
+		for len(l.changes) > 0 && l.now.Sub(begin) >= l.changes[0].after {
+			l.changes[0].run()
+			l.changes = l.changes[1:]
+		}
 		l.run(tick)
 		for len(l.pending) > 0 && l.pending[0].at.Before(l.now) {
 			next := heap.Pop(&l.pending).(occurrence)
@@ -150,7 +207,9 @@
 	mean := float64(l.inTotal+1) / float64(l.engines)
 	l.active[id]++
 	l.inTotal++
-	l.moments = append(l.moments, moment{now, float64(l.active[id]) > boundFactor*mean+boundSlack})
+	if !now.Before(l.inTouch[n.Self.Name]) {
+		l.moments = append(l.moments, moment{now, float64(l.active[id]) > boundFactor*mean+boundSlack})
+	}
 	lacks := max(0, k.familyTokens+k.chatTokens-g.HeldTokens)
 	l.lacked += lacks
 	l.shared += k.familyTokens + k.chatTokens
@@ -189,17 +248,56 @@
 // TestEndpointsHoldNoMoreThanTwiceTheMean guards against endpoints that get more than they have room
 // for, since many instances send to them by counts that are as old.
 func TestEndpointsHoldNoMoreThanTwiceTheMean(t *testing.T) {
-	for _, c := range []struct{ instances, engines int }{{1, 9}, {3, 6}, {8, 12}, {24, 30}, {58, 60}, {124, 90}} {
+	for _, c := range []struct{ instances, engines int }{{1, 9}, {3, 6}, {8, 12}, {24, 30}, {58, 60}, {124, 90}, {780, 600}} {
 		t.Run(fmt.Sprint(c.instances), func(t *testing.T) {
+			if c.instances > 300 && !*largestFleet {
+				t.Skip("takes minutes; run with -largest-fleet")
+			}
 			for seed := uint64(1); seed <= 2; seed++ {
-				l := newChatLoad(t, c.instances, c.engines, seed)
-				l.play(20 * time.Second)
-				share := l.worstShare()
-				t.Logf("seed %d: %.4f of the requests of the worst 5 s are over the bound; %.3f of the shared tokens were missing", seed, share, float64(l.lacked)/float64(l.shared))
-				if share > maxOverShare {
-					t.Errorf("seed %d: %.4f of the requests of 5 s reach endpoints over the bound, want %.2f at most", seed, share, maxOverShare)
+				playChats(t, newChatLoad(t, c.instances, c.engines, seed))
+			}
+		})
+	}
+}
+
+// TestEndpointsHoldNoMoreThanTwiceTheMeanBesideFaults plays the same while messages are lost,
+// instances are cut off, and after all have restarted at once.
+func TestEndpointsHoldNoMoreThanTwiceTheMeanBesideFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(l *chatLoad)
+	}{
+		{"messages are lost", func(l *chatLoad) {
+			l.pass = func(_, _ string, m *pb.Report) *pb.Report {
+				if l.random.IntN(50) == 0 {
+					return nil
 				}
+				return m
+			}
+		}},
+		{"instances are cut off", func(l *chatLoad) {
+			l.changes = []change{{6 * time.Second, func() { l.cutOff(append(l.relays(), l.names[:len(l.names)/3]...), 5*time.Second) }}}
+		}},
+		{"all restart", func(l *chatLoad) { l.changes = []change{{6 * time.Second, l.restartAll}} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, size := range []struct{ instances, engines int }{{8, 12}, {124, 90}} {
+				l := newChatLoad(t, size.instances, size.engines, 1)
+				c.fault(l)
+				playChats(t, l)
 			}
 		})
 	}
 }
+
+// playChats plays a load and checks the bound.
+func playChats(t *testing.T, l *chatLoad) {
+	t.Helper()
+	l.play(20 * time.Second)
+	share := l.worstShare()
+	t.Logf("%d instances: %.4f of the requests of the worst 5 s are over the bound; %.3f of the shared tokens were missing",
+		len(l.names), share, float64(l.lacked)/float64(l.shared))
+	if share > maxOverShare {
+		t.Errorf("%d instances: %.4f of the requests of 5 s reach endpoints over the bound, want %.2f at most", len(l.names), share, maxOverShare)
+	}
+}
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -187,6 +187,7 @@
 			},
 			DomainOutOfService: func(domain string) bool { return s.outs[domain] },
 		}
+		s.placer.Unreported = s.unreported
 		s.initGauges()
 		s.initRamps()
 		s.placer.SetEndpoints(nil)
--- a/core/crplace/candidate.go
+++ b/core/crplace/candidate.go
@@ -46,6 +46,9 @@
 	// unknown is the number of requests that are estimated to run or wait there, by the
 	// endpoint's statements, minus those in flight.
 	unknown int32
+	// unreported is the number of requests that other instances are assumed to have placed there
+	// since they reported, drawn at random.
+	unreported float64
 	// backlog is how long the endpoint is busy with the prefill of other prompts.
 	backlog time.Duration
 	// excessFailureRate is how far the endpoint's recent failure rate exceeds the
@@ -74,12 +77,12 @@
 	return cold
 }
 
-// leastLoaded returns the available candidate with the fewest requests in flight,
+// leastLoaded returns the available candidate with the fewest requests in flight and unreported,
 // or nil if none is available.
 func leastLoaded(list []candidate) *candidate {
 	var least *candidate
 	for i := range list {
-		if c := &list[i]; c.available() && (least == nil || c.inFlight < least.inFlight) {
+		if c := &list[i]; c.available() && (least == nil || c.assumedInFlight() < least.assumedInFlight()) {
 			least = c
 		}
 	}
@@ -157,16 +160,17 @@
 	}
 	p.sumLoad(healthy, ejected, tooMany)
 	if !a.Spread {
+		p.drawUnreported(a, mean)
 		// While the slots of a service are short, no capacity is left unused for a ramp.
 		p.pace(a, mean)
 	}
 	return p.healthy, mean
 }
 
-// overBound reports whether the requests in flight have reached the bound, which is
-// relative to their mean over the service.
+// overBound reports whether the requests in flight and those unreported have reached the bound,
+// which is relative to the mean over the service.
 func (c *candidate) overBound(mean float64) bool {
-	return float64(c.inFlight) >= boundFactor*mean+boundSlack
+	return c.assumedInFlight() >= boundFactor*mean+boundSlack
 }
 
 // full reports whether the slots and the queue of an endpoint are in use. An
--- a/core/crplace/place.go
+++ b/core/crplace/place.go
@@ -186,6 +186,10 @@
 	// StatedLoad returns the load of an endpoint with some requests in flight by its statements. It
 	// is nil if statements aren't used.
 	StatedLoad func(e *Endpoint, inFlight int) StatedLoad
+	// Unreported returns how many requests other instances are assumed to have placed at an
+	// endpoint of a service since they reported, at most, for the given mean of requests in
+	// flight. It is nil if the counts of others are exact.
+	Unreported func(service string, mean float64) float64
 	// EventInterval returns the time between two events of a stream at an endpoint. It is nil
 	// if that isn't learned.
 	EventInterval func(e *Endpoint) time.Duration
--- a/core/crplace/rank.go
+++ b/core/crplace/rank.go
@@ -171,7 +171,7 @@
 // request in flight at an endpoint with referenceSlots slots and the usual speed in the
 // instance's own failure domain.
 func (p *Placer) cost(c *candidate) float64 {
-	n := float64(c.queue())*slotWeight(c.Slots)*c.relativeTime() + failureLoad*c.excessFailureRate
+	n := (float64(c.queue())+c.unreported)*slotWeight(c.Slots)*c.relativeTime() + failureLoad*c.excessFailureRate
 	if c.FailureDomain != p.FailureDomain {
 		n += crossDomainLoad
 	}
