Continue streams at the version that began them

Callers got streams whose first events were of one software version and the rest of another, when an endpoint crashed or stalled, or a stream was moved, while two versions served. The instance asked for any endpoint that hadn't been tried. The class: state that an endpoint's software gives to an answer was lost between two attempts of one request.

A stream now has the version of the endpoint that made its first event, and goes on at endpoints of that version only; without one it is cut, so that its caller may take it up.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -29,6 +29,7 @@
 	"crocusrack/core/crroute"
 	"crocusrack/core/crshare"
 	"crocusrack/core/crswitch"
+	"crocusrack/core/crversion"
 	pb "crocusrack/schema/crrouter"
 )
 
@@ -288,8 +289,9 @@
 	return g
 }
 
-// place chooses the endpoint for a request among those of the version that it goes to. It
-// reports whether that is the version that the service's traffic moves to.
+// place chooses the endpoint for a request among those of the version that it goes to. A stream
+// that goes on stays at its version. place reports whether that is the version that the service's
+// traffic moves to.
 func (s *State) place(now time.Time, a Request, spread bool) (choice crplace.Choice, newVersion bool) {
 	r := crplace.Request{
 		Service:         a.Service.Name,
@@ -302,6 +304,13 @@
 		Random:          rand.Uint64(),
 		Stream:          s.streamFor(now, a),
 	}
+	if a.Version != 0 {
+		r.Allowed = func(k crledger.Key) bool {
+			e := s.placer.Endpoint(k)
+			return e != nil && crversion.Of(e.Version) == a.Version
+		}
+		return s.placer.Place(now, r), false
+	}
 	arm := s.rollouts.Choose(now, crrollout.Request{
 		Service: a.Service.Name, Route: a.Route, Draw: a.Draw, Repeat: len(a.Tried) > 0,
 	})
--- a/core/crgrant/request.go
+++ b/core/crgrant/request.go
@@ -7,6 +7,7 @@
 	"crocusrack/core/crledger"
 	"crocusrack/core/crquarantine"
 	"crocusrack/core/crroute"
+	"crocusrack/core/crversion"
 )
 
 // Request describes a request that needs an endpoint.
@@ -38,4 +39,6 @@
 	// Stream is what is known of the stream that answers the request, or nil if it isn't
 	// answered by a stream.
 	Stream *Stream
+	// Version is the version that began the stream that goes on, or zero if any may answer.
+	Version crversion.Version
 }
--- a/core/crgrant/shortage.go
+++ b/core/crgrant/shortage.go
@@ -34,6 +34,13 @@
 // and reports changes. It returns the cause if there is none.
 func (s *State) recordUnusable(now time.Time, a Request, r crplace.Reason) string {
 	service := a.Service.Name
+	if a.Version != 0 {
+		// Endpoints of other versions may be usable.
+		if r == crplace.NoEndpoint {
+			return "of-its-version"
+		}
+		return ""
+	}
 	if r == crplace.Chosen && !s.unusable[service] || r != crplace.Chosen && r != crplace.NoEndpoint && r != crplace.Paused {
 		return ""
 	}
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -204,6 +204,8 @@
 	failure *bufferedAnswer
 	// events is the number of events of the stream that were read.
 	events atomic.Int64
+	// version is the crversion.Version that began the stream, or zero before the first event.
+	version atomic.Uint32
 	// answered is true once an answer has settled.
 	answered atomic.Bool
 	// left is true once the caller's connection was found to be closed.
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -14,6 +14,7 @@
 	"crocusrack/core/crledger"
 	"crocusrack/core/crroute"
 	"crocusrack/core/crswitch"
+	"crocusrack/core/crversion"
 	"crocusrack/io/crhop"
 )
 
@@ -148,7 +149,7 @@
 	r := crgrant.Request{
 		Service: x.service, Route: x.route.Name, Draw: crhash.Of(x.request.ID),
 		Links: x.links, Parts: x.parts, Tried: x.tried, Target: x.route.Target, SkipPrefillWait: skipPrefillWait,
-		Priority: x.priority, Deadline: x.limit, Stream: x.progress(),
+		Priority: x.priority, Deadline: x.limit, Stream: x.progress(), Version: crversion.Version(x.version.Load()),
 	}
 	if x.account != nil {
 		r.Account, r.Weight = x.account.Name, x.account.Weight
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -12,6 +12,7 @@
 	"crocusrack/core/crhealth"
 	"crocusrack/core/crstream"
 	"crocusrack/core/crswitch"
+	"crocusrack/core/crversion"
 	"crocusrack/io/crhop"
 )
 
@@ -193,6 +194,7 @@
 				s.reportPauses(c.at, g)
 				if firstEvent.IsZero() {
 					firstEvent = time.Now()
+					s.beginsAt(g)
 				} else if time.Since(firstEvent) >= answerSettleTime {
 					s.markAnswered(g)
 				}
@@ -233,6 +235,12 @@
 	}
 }
 
+// beginsAt records that an endpoint made the first event of the stream that is known here. From
+// then on, the stream only goes on at endpoints of its version.
+func (x *exchange) beginsAt(g *crgrant.Grant) {
+	x.version.CompareAndSwap(0, uint32(crversion.Of(g.Endpoint.Version)))
+}
+
 // insideEvent reports whether a stream that ends now ends inside an event, or before the
 // first one of a stream from the start.
 func (s *streamCopier) insideEvent(hasEvents bool) bool {
