Write the versions of streams sooner, and read them for lost instances

Checkpoints are written each 100 ms, up to 256 KB/s. In a small fleet two instances beside the keeper are told of a stream. If no live instance knows a stream, the checkpoints are read, once a second at most.

--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -130,19 +130,28 @@
 }
 
 // streamHolders returns the instances that are told of a stream, while its service is mixed: the one
-// that writes checkpoints, and one of another failure domain, if there is any, that callers' next
-// instances know to ask.
+// that writes checkpoints, and of those that are asked for it the first one of another failure
+// domain, if there is any. In a small fleet they are one more.
 func (s *State) streamHolders(now time.Time, stream uint64) []crliveness.Instance {
 	var list []crliveness.Instance
 	if keeper, _ := s.roster.Keeper(now); keeper.Name != s.Self.Name {
 		list = append(list, keeper)
 	}
-	holders := s.roster.Holders(now, stream, askedHolders)
-	i := max(0, slices.IndexFunc(holders, func(i crliveness.Instance) bool { return i.FailureDomain != s.Self.FailureDomain }))
-	if i < len(holders) && !slices.Contains(list, holders[i]) {
-		list = append(list, holders[i])
+	others := slices.DeleteFunc(s.roster.Holders(now, stream, askedHolders), func(i crliveness.Instance) bool { return slices.Contains(list, i) })
+	slices.SortStableFunc(others, func(a, b crliveness.Instance) int { return s.isOwnDomain(a) - s.isOwnDomain(b) })
+	count := 2
+	if s.roster.Large(now) {
+		count = 1
 	}
-	return list
+	return append(list, others[:min(count, len(others))]...)
+}
+
+// isOwnDomain returns 1 if an instance is of the own failure domain, else 0.
+func (s *State) isOwnDomain(i crliveness.Instance) int {
+	if i.FailureDomain == s.Self.FailureDomain {
+		return 1
+	}
+	return 0
 }
 
 // KeptStreams returns the streams that began lately and their versions, and the name under which this
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -30,6 +30,7 @@
 	"crocusrack/core/crquarantine"
 	"crocusrack/core/crrollout"
 	"crocusrack/core/crsettings"
+	"crocusrack/core/crversion"
 	"crocusrack/io/crforward"
 	"crocusrack/io/crhop"
 	"crocusrack/io/crlink"
@@ -194,7 +195,7 @@
 		MaxEventBytes: s.AnswerEventBytes,
 		MaxEventDelay: s.EventDelay,
 		Disabled:      s.Disabled,
-		FindStream:    r.link.FindStream,
+		FindStream:    r.findStream,
 	}
 	r.limitMemory()
 	packets, err := net.ListenPacket("udp4", s.Peer.String())
@@ -213,6 +214,17 @@
 	return nil
 }
 
+// findStream finds out which version of a service began the stream that the caller's attempt with the
+// given id got, from other instances or from the store. It returns zero if neither knows.
+func (r *Router) findStream(ctx context.Context, service, id string) crversion.Version {
+	if v := r.link.FindStream(ctx, service, id); v != 0 {
+		return v
+	}
+	r.Watcher.FindStreams(ctx)
+	v, _ := r.state.StreamVersion(time.Now(), service, id)
+	return v
+}
+
 // logRollout logs what this instance found about a roll-out.
 func (r *Router) logRollout(e crrollout.Event) {
 	r.Log.Info("rollout: "+e.What, zap.String("service", e.Service), zap.String("target", e.Target), zap.String("why", e.Why),
--- a/io/crwatch/version.go
+++ b/io/crwatch/version.go
@@ -17,9 +17,12 @@
 	versionsPause = 500 * time.Millisecond
 	// streamsPause is the time between two checkpoints of the versions that began streams. After a
 	// loss of all instances, streams that began in that time can't be taken up.
-	streamsPause = 250 * time.Millisecond
+	streamsPause = 100 * time.Millisecond
 	// streamsRate bounds these checkpoints, in bytes per second.
-	streamsRate = 64 << 10
+	streamsRate = 256 << 10
+	// streamsReadPause is the time between two reads of these checkpoints for streams that no
+	// live instance knows.
+	streamsReadPause = time.Second
 )
 
 // Streams saves the versions that began streams under a name, and loads them all.
@@ -119,6 +122,21 @@
 	}
 }
 
+// FindStreams loads the versions that began streams lately, for one that no live instance knows. It
+// does nothing if that was done a moment ago.
+func (w *Watcher) FindStreams(ctx context.Context) {
+	now := time.Now().UnixNano()
+	last := w.streamsRead.Load()
+	if w.Streams.Load == nil || now-last < int64(streamsReadPause) || !w.streamsRead.CompareAndSwap(last, now) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := w.loadStreams(ctx); err != nil {
+		w.Log.Debug("watch: kept versions of streams can't be read", zap.Error(err))
+	}
+}
+
 // loadStreams loads the versions that began streams lately.
 func (w *Watcher) loadStreams(ctx context.Context) error {
 	list, err := w.Streams.Load(ctx)
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -100,6 +101,8 @@
 
 	started time.Time
 	outage  outage
+	// streamsRead is when the versions of streams were read last, in Unix nanoseconds.
+	streamsRead atomic.Int64
 }
 
 // Run reads and watches the store until the context ends.
