Take an unframed answer that is reset during the upload for incomplete

The kernel returns the error of a reset once. If the write of the request got it, the read ended as if the endpoint had closed the connection, which marks the end of an answer without a length.

At the end of such a body, a request that couldn't be written to its end now makes the answer incomplete. The write is waited for 50 ms at most; one that still waits then is on a live connection, whose endpoint closed its direction only. TestUnframedAnswerResetDuringUploadIsIncomplete failed before; its connection returns the error to the write, as the kernel does in some tries of a thousand.

--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -172,15 +172,42 @@
 	return a.Length >= 0 || strings.EqualFold(strings.Join(a.response.TransferEncoding, ","), "chunked")
 }
 
-// Read reads from the body.
+// resetWait is how long the end of an unframed body waits for the write of the request to fail. A
+// write fails at once on a connection that was reset.
+const resetWait = 50 * time.Millisecond
+
+// Read reads from the body. The end of an unframed body on a connection that was reset is
+// io.ErrUnexpectedEOF.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.response.Body.Read(p)
-	if err == io.EOF {
-		a.bodyEnded.Store(true)
+	if err != io.EOF {
+		return n, err
+	}
+	if !a.Framed() && a.writeFailed() {
+		return n, io.ErrUnexpectedEOF
 	}
+	a.bodyEnded.Store(true)
 	return n, err
 }
 
+// writeFailed reports whether the request couldn't be written to its end. The error of a reset is
+// returned once: if the write gets it, reads end as if the endpoint had closed the connection.
+func (a *Answer) writeFailed() bool {
+	select {
+	case <-a.written:
+		return a.writeErr != nil
+	default:
+	}
+	timer := time.NewTimer(resetWait)
+	defer timer.Stop()
+	select {
+	case <-a.written:
+		return a.writeErr != nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // Close ends the exchange. The connection is kept for reuse if the body was read to its
 // end, the request was written completely, and no further data has arrived. Otherwise
 // the connection is reset.
