Take no part of an answer with a status below 100 for an answer

An endpoint in trouble sends an answer with status 000. Statuses below 100 are now an error of the attempt. TestStatusBelow100IsNoAnswer failed before: it got 200 and the inner body.

--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -158,6 +158,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < http.StatusContinue {
+			// What follows is this answer's body, and not another answer.
+			return nil, fmt.Errorf("%w: %03d", errBadStatus, response.StatusCode)
+		}
 		k.answered = true
 		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
 			return response, nil
--- a/io/crhop/client.go
+++ b/io/crhop/client.go
@@ -143,6 +143,8 @@
 	errWrongAnswer = errors.New("the answer belongs to another request")
 	// ErrWithdrawn is the cause of an Error if Request.Allowed returned false.
 	ErrWithdrawn = errors.New("the request may no longer be sent")
+	// errBadStatus means that an answer has a status that isn't one of HTTP.
+	errBadStatus = errors.New("the answer has no valid status")
 	// errHeadTooLong means that the head of an answer exceeds its limit, or that more
 	// than maxInterim interim answers came before the final one.
 	errHeadTooLong = errors.New("the head of the answer is too long")
--- a/io/crhop/reset_test.go
+++ b/io/crhop/reset_test.go
@@ -116,3 +116,18 @@
 		}
 	})
 }
+// TestStatusBelow100IsNoAnswer guards against answers that are made of the body of another one, whose
+// status is none.
+func TestStatusBelow100IsNoAnswer(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\ninner"
+	for _, head := range []string{"Content-Length: 50\r\n\r\n", "\r\n", "Connection: close\r\n\r\n"} {
+		for _, status := range []string{"000", "099"} {
+			e := serve(t, answers("HTTP/1.1 "+status+" x\r\nId: a\r\n"+head+inner))
+			client := &crhop.Client{}
+			if got, err := send(t, client, e, "a", false); err == nil {
+				t.Errorf("status %s: got %q, want an error", status, got)
+			}
+			client.CloseIdle()
+		}
+	}
+}
