--- a/io/crhop/reset_test.go
+++ b/io/crhop/reset_test.go
@@ -116,6 +116,7 @@
 		}
 	})
 }
+
 // TestStatusBelow100IsNoAnswer guards against answers that are made of the body of another one, whose
 // status is none.
 func TestStatusBelow100IsNoAnswer(t *testing.T) {
