Play versions in the soak, and read checkpoints of streams less often

The stand-in's servers write their version into each event, a server of the soak starts anew with another version each time, and callers take streams up again that broke off. A stream with events of two versions breaks the run, whether they are in one answer or over a caller's two.

An instance read the checkpoints of streams again for each unknown one, once a second at most, though it had read them when it started: 0.3 s for 124 instances at once, in which callers waited for their refusal. The time between two reads is now 5 s.

--- a/io/crwatch/version.go
+++ b/io/crwatch/version.go
@@ -20,9 +20,8 @@
 	streamsPause = 100 * time.Millisecond
 	// streamsRate bounds these checkpoints, in bytes per second.
 	streamsRate = 256 << 10
-	// streamsReadPause is the time between two reads of these checkpoints for streams that no
-	// live instance knows.
-	streamsReadPause = time.Second
+	// streamsReadPause is the time between two reads of these checkpoints.
+	streamsReadPause = 5 * time.Second
 )
 
 // Streams saves the versions that began streams under a name, and loads them all.
@@ -104,6 +103,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		data, err := w.Versions.Load(callCtx)
 		if err == nil && len(data) > 0 {
+			w.streamsRead.Store(time.Now().UnixNano())
 			err = w.loadStreams(callCtx)
 		}
 		cancel()
--- a/stand/crsoak/report.go
+++ b/stand/crsoak/report.go
@@ -89,10 +89,7 @@
 	}
 	want := crstandin.Body(c.id)
 	if c.kind == crstandin.Draft || c.kind == crstandin.Reply {
-		want = ""
-		for n := range crstandin.Events {
-			want += crstandin.Event(c.id, n+1)
-		}
+		want = w.judgeVersions(r, c)
 	}
 	switch {
 	case !a.Sealed:
@@ -104,6 +101,28 @@
 	}
 }
 
+// judgeVersions checks that all events that a caller has of a stream are of one version. It returns
+// the answer to the call if it is whole.
+func (w *world) judgeVersions(r *Report, c call) string {
+	versions := crstandin.EventVersions(c.answer.Body)
+	all := versions
+	if c.version != "" {
+		all = append([]string{c.version}, versions...)
+	}
+	// Earlier releases don't know of versions.
+	if mixed := slices.Compact(slices.Clone(all)); len(mixed) > 1 && !w.previous {
+		r.broken(c, "a stream holds events of several versions: %s", strings.Join(mixed, ", "))
+	}
+	want, version := "", c.version
+	for n := c.from.After; n < crstandin.Events; n++ {
+		if i := n - c.from.After; i < len(versions) {
+			version = versions[i]
+		}
+		want += crstandin.Event(c.id, n+1, version)
+	}
+	return want
+}
+
 // servedAfter is the least share of calls that are served once the faults are
 // over; those with keys that were taken away aren't.
 const servedAfter = 0.25
--- a/stand/crsoak/soak.go
+++ b/stand/crsoak/soak.go
@@ -382,6 +382,9 @@
 	// offset is when it was sent, from the start of the load.
 	offset time.Duration
 	answer crstandin.Answer
+	// from is where the call takes a stream up again, and version the version that began it.
+	from    crstandin.TakeUp
+	version string
 }
 
 func (c *caller) run(ctx context.Context) []call {
@@ -404,13 +407,32 @@
 		// A caller finishes what it began before the load ends.
 		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 		x.answer = crstandin.Call(callCtx, c.client, front, x.kind, x.id, x.key)
-		cancel()
 		list = append(list, x)
+		if again, broken := x.takenUp(); broken {
+			if front, ok = c.front(ctx); ok {
+				again.sent, again.offset = time.Now(), time.Since(c.begin)
+				again.answer = crstandin.CallFrom(callCtx, c.client, front, again.kind, again.id, again.key, again.from)
+				list = append(list, again)
+			}
+		}
+		cancel()
 		time.Sleep(time.Duration(c.random.IntN(20)) * time.Millisecond)
 	}
 	return list
 }
 
+// takenUp returns the call that takes a stream up again that has broken off, and false for other
+// calls.
+func (c call) takenUp() (call, bool) {
+	versions := crstandin.EventVersions(c.answer.Body)
+	if c.kind != crstandin.Draft || c.answer.Status != http.StatusOK || c.answer.Whole || len(versions) == 0 {
+		return call{}, false
+	}
+	again := c
+	again.id, again.from, again.version = c.id+"-again", crstandin.TakeUp{Resumes: c.id, After: len(versions)}, versions[0]
+	return again, true
+}
+
 // front returns a daemon's front, as a daemon's directory names it.
 func (c *caller) front(ctx context.Context) (netip.AddrPort, bool) {
 	if time.Now().After(c.until) {
--- a/stand/crsoak/soak_test.go
+++ b/stand/crsoak/soak_test.go
@@ -89,7 +89,7 @@
 	events := func(from, to int) string {
 		text := ""
 		for n := from; n <= to; n++ {
-			text += crstandin.Event("q", n)
+			text += crstandin.Event("q", n, "v1")
 		}
 		return text
 	}
@@ -120,6 +120,7 @@
 		{"another's answer", crstandin.Read, nil, crstandin.Answer{Status: 200, Sealed: true, Body: "other"}, 0, "isn't the start of its own"},
 		{"stream", crstandin.Draft, nil, crstandin.Answer{Status: 200, Sealed: true, Whole: true, Body: events(1, crstandin.Events)}, 0, ""},
 		{"stream with a gap", crstandin.Draft, nil, crstandin.Answer{Status: 200, Sealed: true, Body: events(1, 3) + events(5, 6)}, 0, "isn't the start"},
+		{"stream of two versions", crstandin.Draft, nil, crstandin.Answer{Status: 200, Sealed: true, Body: events(1, 3) + crstandin.Event("q", 4, "v2")}, 0, "several versions: v1, v2"},
 		{"stream that ends early", crstandin.Draft, nil, crstandin.Answer{Status: 200, Sealed: true, Whole: true, Body: events(1, 3)}, 0, "looks whole"},
 	} {
 		w := &world{taken: map[string]time.Time{}}
--- a/stand/crsoak/world.go
+++ b/stand/crsoak/world.go
@@ -36,6 +36,8 @@
 	// restores is true if the store may come back from a copy. It doesn't beside a roll-out,
 	// whose servers and order aren't written again here.
 	restores bool
+	// alternates is true if a server starts anew with another version each time.
+	alternates bool
 	// previous is true if daemons of an earlier release run.
 	previous bool
 	// limits are the times in which servers named limits, and disturbed those of faults that
@@ -93,7 +95,7 @@
 
 // build starts the store and the servers, and prepares the daemons.
 func build(o Options) (*world, error) {
-	w := &world{taken: make(map[string]time.Time), previous: o.Previous != "", restores: o.Rollout == nil}
+	w := &world{taken: make(map[string]time.Time), previous: o.Previous != "", restores: o.Rollout == nil, alternates: o.Rollout == nil}
 	l, err := listen()
 	if err != nil {
 		return nil, err
@@ -156,9 +158,12 @@
 		return err
 	}
 	s.mu.Lock()
+	if w.alternates && !s.born.IsZero() {
+		s.version = map[string]string{firstVersion: nextVersion, nextVersion: firstVersion}[s.version]
+	}
 	s.born = time.Now()
 	s.served = &crstandin.Server{
-		ID: fmt.Sprint(s.name, "-", s.born.UnixMicro()), Record: &w.record, Work: serverWork, Random: s.random,
+		ID: fmt.Sprint(s.name, "-", s.born.UnixMicro()), Version: s.version, Record: &w.record, Work: serverWork, Random: s.random,
 	}
 	s.served.SetTrouble(s.trouble)
 	s.http = &http.Server{Handler: s.served}
