Let servers of both versions serve in the soak

Without an order to move the traffic, a version that comes later got no requests, as the daemons' settings followed orders.

--- a/stand/crsoak/process.go
+++ b/stand/crsoak/process.go
@@ -39,8 +39,9 @@
 	stopped bool
 }
 
-// configure writes the settings of the daemon.
-func (d *daemon) configure(folder string, seeds []string) error {
+// configure writes the settings of the daemon. The share bounds what a version gets before it is known
+// to be good; with zero, all versions of a service serve alike.
+func (d *daemon) configure(folder string, seeds []string, share float64) error {
 	ready, err := freeAddress()
 	if err != nil {
 		return err
@@ -58,7 +59,7 @@
 retry-slack = 50
 rollout-share = %v
 rollout-slack = %v
-`, d.name, d.domain, d.front, ready, d.dir, d.peer, d.store.address(), strings.Join(seeds, `", "`), revocation, stopTimeout, exposureShare, exposureSlack)
+`, d.name, d.domain, d.front, ready, d.dir, d.peer, d.store.address(), strings.Join(seeds, `", "`), revocation, stopTimeout, share, exposureSlack)
 	d.settings = filepath.Join(folder, d.name+".toml")
 	d.log = filepath.Join(folder, d.name+".log")
 	return os.WriteFile(d.settings, []byte(text), 0o600)
--- a/stand/crsoak/world.go
+++ b/stand/crsoak/world.go
@@ -36,7 +36,8 @@
 	// restores is true if the store may come back from a copy. It doesn't beside a roll-out,
 	// whose servers and order aren't written again here.
 	restores bool
-	// alternates is true if a server starts anew with another version each time.
+	// alternates is true if half of the servers start with another version, and each of them anew with
+	// the other one.
 	alternates bool
 	// previous is true if daemons of an earlier release run.
 	previous bool
@@ -106,6 +107,9 @@
 	w.closers = append(w.closers, func() { store.Close() })
 	for i := range o.Servers {
 		s := &server{name: fmt.Sprint("server-", i), domain: domains[i%len(domains)], version: firstVersion, random: rand.New(rand.NewPCG(o.Seed, uint64(i)+2))}
+		if w.alternates && i%2 == 1 {
+			s.version = nextVersion
+		}
 		if err := s.start(w); err != nil {
 			return w, err
 		}
@@ -132,8 +136,12 @@
 	if err := w.change(); err != nil {
 		return w, err
 	}
+	share := exposureShare
+	if w.alternates {
+		share = 0
+	}
 	for _, d := range w.daemons {
-		if err := errors.Join(d.configure(o.Folder, seeds), d.start()); err != nil {
+		if err := errors.Join(d.configure(o.Folder, seeds, share), d.start()); err != nil {
 			return w, err
 		}
 	}
