Write no checkpoint of streams before the earlier ones are read

An instance that has just started takes itself for the keeper until it knows the others, and replaced the checkpoint of its failure domain by what it knew itself, before the others had read it.

An instance writes checkpoints only once it has read the earlier ones, and not in the first 2 s. It keeps twice as many streams, as those of all failure domains are read. TestStartingInstanceKeepsCheckpoints failed before.

--- a/core/crversion/table.go
+++ b/core/crversion/table.go
@@ -12,7 +12,7 @@
 const Lifetime = time.Minute
 
 // maxStreams bounds the streams whose version is kept. There may be twice as many for a while.
-const maxStreams = 1 << 14
+const maxStreams = 1 << 15
 
 // Checkpoints hold the streams that began within keptTime, maxKept of them at most: about as long as
 // callers wait for one.
--- a/io/crwatch/version.go
+++ b/io/crwatch/version.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +21,9 @@
 	streamsPause = 100 * time.Millisecond
 	// streamsRate bounds these checkpoints, in bytes per second.
 	streamsRate = 256 << 10
+	// keeperSettling is the time after a start in which an instance writes no checkpoint. It may take
+	// itself for the keeper before it knows the others.
+	keeperSettling = 2 * time.Second
 	// streamsReadPause is the time between two reads of these checkpoints.
 	streamsReadPause = 5 * time.Second
 )
@@ -30,10 +34,11 @@
 	Load func(ctx context.Context) ([][]byte, error)
 }
 
-// keepStreams saves the versions that began streams while this instance is the one that does.
+// keepStreams saves the versions that began streams while this instance is the one that does. It is
+// called once the earlier checkpoints are loaded, which those of this instance replace.
 func (w *Watcher) keepStreams(ctx context.Context) {
 	var written []byte
-	pause := streamsPause
+	pause := keeperSettling
 	for crbackoff.Sleep(ctx, pause) == nil {
 		pause = streamsPause
 		m, name := w.State.KeptStreams(time.Now())
@@ -68,6 +73,9 @@
 	if err != nil {
 		return
 	}
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { w.keepStreams(ctx) })
 	era := uint64(0)
 	for crbackoff.Sleep(ctx, versionsPause) == nil {
 		if w.cameBack(&era) {
--- a/io/crwatch/version_test.go
+++ b/io/crwatch/version_test.go
@@ -51,6 +51,34 @@
 	}
 }
 
+// TestStartingInstanceKeepsCheckpoints guards against checkpoints that an instance replaces before it
+// has read them.
+func TestStartingInstanceKeepsCheckpoints(t *testing.T) {
+	s := newStore("llm-1", "llm-2")
+	s.endpoints["llm-1"].Version, s.endpoints["llm-2"].Version = "v1", "v2"
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(3 * time.Second)
+		beginStream(state, "begun")
+		time.Sleep(time.Second)
+	})
+	s.versionsDown = true
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(3 * time.Second)
+		beginStream(state, "later")
+		time.Sleep(time.Second)
+		s.do(func() { s.versionsDown = false })
+		time.Sleep(5 * time.Second)
+	})
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(3 * time.Second)
+		for _, id := range []string{"begun", "later"} {
+			if v, _ := state.StreamVersion(time.Now(), "llm", id); v == 0 {
+				t.Errorf("the version of the stream %s isn't kept", id)
+			}
+		}
+	})
+}
+
 // TestCallsForVersions counts the calls of the store for the versions of streams.
 func TestCallsForVersions(t *testing.T) {
 	for _, c := range []struct {
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -120,7 +120,6 @@
 	if w.Versions.Load != nil {
 		w.State.AwaitVersions()
 		tasks.Go(func() { w.keepVersions(ctx) })
-		tasks.Go(func() { w.keepStreams(ctx) })
 	}
 	if !w.State.Disabled.Has(crswitch.ContextCheckpoints) {
 		tasks.Go(func() { w.keepContexts(ctx) })
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -44,6 +44,8 @@
 	versions     []byte
 	streams      map[string][]byte
 	versionCalls int
+	// versionsDown is true while calls for kept versions to load them fail.
+	versionsDown bool
 	// saves counts the checkpoints, and registrations the registered instances.
 	saves, registrations int
 }
@@ -133,6 +135,9 @@
 			Load: func(context.Context) ([]byte, error) {
 				var data []byte
 				err := s.countVersionCall(func() { data = s.versions })
+				if s.versionsDown {
+					err = errDown
+				}
 				return data, err
 			},
 		},
