--- /dev/null
+++ b/core/crliveness/holder.go
@@ -0,0 +1,74 @@
+package crliveness
+
+import (
+	"slices"
+	"time"
+
+	"crocusrack/core/crhash"
+)
+
+// keeperDuty names the duty of a Keeper.
+const keeperDuty = "keep"
+
+// Holders returns up to count live instances other than this one that keep what is to outlive an
+// instance, in the order given by hashes of the key and their names. The second one is of another
+// failure domain than the first, if there is any.
+func (r *Roster) Holders(now time.Time, key uint64, count int) []Instance {
+	var list []Instance
+	first := func(want func(e *entry) bool) {
+		var best *entry
+		least := uint64(0)
+		for _, e := range r.peers {
+			if !r.alive(now, e) || slices.Contains(list, e.Instance) || !want(e) {
+				continue
+			}
+			if score := crhash.Mix(key, crhash.Of(e.Name)); best == nil || score < least {
+				best, least = e, score
+			}
+		}
+		if best != nil {
+			list = append(list, best.Instance)
+		}
+	}
+	everywhere := func(*entry) bool { return true }
+	for n := range count {
+		if n == 1 && len(list) == 1 {
+			first(func(e *entry) bool { return e.FailureDomain != list[0].FailureDomain })
+		}
+		if len(list) == n {
+			first(everywhere)
+		}
+	}
+	return list
+}
+
+// Keeper returns the live instance that writes what is to outlive all instances to the store: that
+// of this instance's failure domain in a large fleet, else that of the fleet. It also returns the
+// name of what it keeps that for.
+func (r *Roster) Keeper(now time.Time) (keeper Instance, group string) {
+	group = r.keeperGroup(now, r.Self)
+	return r.Keepers(now)[group], group
+}
+
+// Keepers returns all instances that are a Keeper, by what they keep it for.
+func (r *Roster) Keepers(now time.Time) map[string]Instance {
+	keepers := map[string]Instance{r.keeperGroup(now, r.Self): r.Self}
+	for _, e := range r.peers {
+		if !r.alive(now, e) {
+			continue
+		}
+		group := r.keeperGroup(now, e.Instance)
+		if k, ok := keepers[group]; !ok || dutyScore(e.Instance, keeperDuty) < dutyScore(k, keeperDuty) {
+			keepers[group] = e.Instance
+		}
+	}
+	return keepers
+}
+
+// keeperGroup returns the name of what the keeper of an instance keeps.
+func (r *Roster) keeperGroup(now time.Time, i Instance) string {
+	if r.Large(now) {
+		return "domain-" + i.FailureDomain
+	}
+	return "fleet"
+}
