--- a/core/crstream/stream.go
+++ b/core/crstream/stream.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"strings"
 )
 
 // DefaultLimit is the limit of a Splitter, in bytes, if its Limit is zero or negative.
@@ -61,6 +62,24 @@
 // Len returns the number of buffered bytes.
 func (s *Splitter) Len() int { return len(s.buffer) }
 
+// lineEnds replaces the line ends that an event stream may have.
+var lineEnds = strings.NewReplacer("\r\n", "\n", "\r", "\n")
+
+// Inside reports whether the bytes so far end inside an event or a line. Comments and empty lines
+// belong to no event.
+func (s *Splitter) Inside() bool {
+	rest := lineEnds.Replace(string(s.buffer))
+	if i := strings.LastIndex(rest, "\n\n"); i >= 0 {
+		rest = rest[i+len("\n\n"):]
+	}
+	for line := range strings.Lines(rest) {
+		if line != "\n" && (line[0] != ':' || !strings.HasSuffix(line, "\n")) {
+			return true
+		}
+	}
+	return false
+}
+
 // Last returns the ID of the last complete event that has a numeric one, and false if there
 // is no such event and SetLast wasn't called.
 func (s *Splitter) Last() (uint64, bool) { return s.lastID, s.hasLast }
--- a/core/crstream/stream_test.go
+++ b/core/crstream/stream_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// TestInside guards against streams that end inside an event and are taken for complete, and against
+// complete ones that are taken for broken off.
+func TestInside(t *testing.T) {
+	for text, want := range map[string]bool{
+		"": false, "id: 1\n\n": false, "id: 1\n\n\n": false, "id: 1\n\n\r\n": false, "id: 1\r\n\r\n": false, "id: 1\r\r": false,
+		"id: 1\n\n: end\n": false, "id: 1\n\n:\r\n": false, ": begin\n": false,
+		"i": true, "id: 1\n": true, "id: 1\r\n": true, "id: 1\r": true, "id: 1\n\nd": true, "id: 1\n\ndata: 1\n": true,
+		"id: 1\n\n: en": true, "id: 1\n\n: end\nid: 2\n": true,
+	} {
+		var s crstream.Splitter
+		write(t, &s, text)
+		if got := s.Inside(); got != want {
+			t.Errorf("%q: inside is %v, want %v", text, got, want)
+		}
+	}
+}
+
 func TestRest(t *testing.T) {
 	var s crstream.Splitter
 	write(t, &s, "id: 7\ndata: a\n\nid: 8\nda")
--- a/io/crforward/stream.go
+++ b/io/crforward/stream.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -206,9 +208,11 @@
 			case err != nil:
 				err = errors.Join(err, s.flush(answer))
 				return monitor.await(), err
-			case c.err == io.EOF && !answer.Framed() && s.insideEvent(!firstEvent.IsZero()):
-				s.reportCrash(g, io.ErrUnexpectedEOF)
-				err := errors.Join(io.ErrUnexpectedEOF, s.flush(answer))
+			case c.err == io.EOF && s.isIncomplete(answer, !firstEvent.IsZero()):
+				// The endpoint may close the connection, whatever it said of the body's end.
+				answer.Abort()
+				s.reportCrash(g, errIncomplete)
+				err := errors.Join(errIncomplete, s.flush(answer))
 				return monitor.await(), err
 			case c.err == io.EOF:
 				if !firstEvent.IsZero() {
@@ -234,11 +238,26 @@
 	}
 }
 
-// insideEvent reports whether a stream that ends now ends inside an event, or before the
-// first one of a stream from the start.
-func (s *streamCopier) insideEvent(hasEvents bool) bool {
+// errIncomplete means that a body ended, but its stream of events didn't.
+var errIncomplete = fmt.Errorf("the stream ended inside an event: %w", io.ErrUnexpectedEOF)
+
+// isIncomplete reports whether a stream whose body ends now ends inside an event. One that ends
+// with its connection is also incomplete before the first event of a stream from the start.
+func (s *streamCopier) isIncomplete(answer *crhop.Answer, hasEvents bool) bool {
+	if answer.Framed() {
+		return hasEventStream(answer) && s.splitter.Inside()
+	}
 	_, resumed := s.splitter.Last()
-	return s.splitter.Len() > 0 || !hasEvents && !resumed
+	return s.splitter.Inside() || !hasEvents && !resumed
+}
+
+// hasEventStream reports whether the body of a stream's answer consists of events. An answer of no
+// media type is taken for one.
+func hasEventStream(answer *crhop.Answer) bool {
+	value := answer.Header.Get("Content-Type")
+	// A type with bad parameters is returned as well.
+	mediaType, _, _ := mime.ParseMediaType(value)
+	return value == "" || mediaType == "text/event-stream"
 }
 
 // readChunks sends the results of reads from the body to chunks, until the body ends or
--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -233,6 +233,9 @@
 	})
 }
 
+// Abort ends the exchange and resets its connection.
+func (a *Answer) Abort() { a.closeOnce.Do(a.reset) }
+
 // reusable reports whether the connection may carry another request.
 func (a *Answer) reusable() bool {
 	if !a.bodyEnded.Load() || !a.Framed() || a.response.Close || a.conn.reader.Buffered() > 0 {
--- a/io/crhop/client_test.go
+++ b/io/crhop/client_test.go
@@ -184,6 +184,29 @@
 	}
 }
 
+// TestAbortedAnswerLeavesNoConnection guards against requests on the connection of an endpoint that
+// stopped in its answer.
+func TestAbortedAnswerLeavesNoConnection(t *testing.T) {
+	e := serve(t, answers(ok), answers(ok))
+	client := &crhop.Client{}
+	defer client.CloseIdle()
+	a, err := client.Send(t.Context(), crhop.Endpoint{Key: 1, Address: e.address}, &crhop.Request{
+		Method: http.MethodPost, Target: "/x/", Host: "desk.example", Header: http.Header{"Id": {"a"}},
+		Echoed: func(int, http.Header, bool) bool { return true },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(a.Body); err != nil {
+		t.Fatal(err)
+	}
+	a.Abort()
+	a.Close()
+	if got, err := send(t, client, e, "b", true); got != "ok" || err != nil {
+		t.Errorf("the next request: %q and %v, want an answer on a connection of its own", got, err)
+	}
+}
+
 // TestNeverSentTwice checks that a request isn't sent again if the endpoint reads it
 // from a kept connection and closes that without an answer. A general HTTP client would
 // repeat it.
