--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -102,6 +102,9 @@
 	coldGate crplace.ColdGate
 	rollouts crrollout.Table
 	versions crversion.Table
+	// versionsEvidence tracks the staleness of versions, where those of the endpoints were read
+	// alone.
+	versionsEvidence crfreshness.Evidence
 	// begunStreams are the streams that their holders weren't told of yet.
 	begunStreams []begunStream
 	quarantine   crquarantine.Table
--- /dev/null
+++ b/core/crgrant/outdated_test.go
@@ -0,0 +1,265 @@
+package crgrant_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
+	pb "crocusrack/schema/crrouter"
+)
+
+// release simulates a release of a service in a fleet whose instances read the store as crwatch does.
+type release struct {
+	*fleet
+	random *rand.Rand
+	// lists holds what the store held at each position, and at is the newest.
+	lists map[crgrant.Position][]*crplace.Endpoint
+	at    crgrant.Position
+	// known holds the position that each instance has, and read when it began its last read of the
+	// store, by its own clock.
+	known map[string]crgrant.Position
+	read  map[string]time.Duration
+	// unreachable holds the instances that don't reach the store.
+	unreachable map[string]bool
+	lossy       bool
+	// deaf holds the instances that messages from others don't reach, but for those in the same group.
+	deaf map[string]int
+}
+
+const (
+	// watchPause is the time between two reads of an unchanged store, and ownRead the age of its list
+	// from which on an instance reads the store that doesn't watch it.
+	watchPause = 1400 * time.Millisecond
+	ownRead    = 2300 * time.Millisecond
+)
+
+func newRelease(t *testing.T, instances int) *release {
+	r := &release{
+		fleet: newFleet(t, instances), random: rand.New(rand.NewPCG(7, 1)), known: map[string]crgrant.Position{}, read: map[string]time.Duration{},
+		lists: map[crgrant.Position][]*crplace.Endpoint{}, unreachable: map[string]bool{}, deaf: map[string]int{},
+	}
+	r.at, r.lists[1] = 1, r.endpoints
+	for _, name := range r.names {
+		r.known[name] = r.at
+	}
+	r.behind = func(name, other string) { r.apply(name, r.known[other]) }
+	r.pass = func(from, to string, m *pb.Report) *pb.Report {
+		if r.lossy && r.random.IntN(20) == 0 || r.deaf[to] > 0 && r.deaf[from] != r.deaf[to] {
+			return nil
+		}
+		return m
+	}
+	r.play(5 * time.Second)
+	return r
+}
+
+// write has the store list endpoints of the versions.
+func (r *release) write(versions ...string) {
+	r.at += 2
+	for i, v := range versions {
+		e, err := crgrant.NewEndpoint(start, &pb.Endpoint{
+			Id: fmt.Sprint("llm-", v, "-", i), Service: "llm", Address: "10.0.1.1:80", FailureDomain: "noord-a", Slots: 64, Version: v,
+		})
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		r.lists[r.at] = append(r.lists[r.at], e)
+	}
+}
+
+func (r *release) apply(name string, at crgrant.Position) {
+	if at > r.known[name] {
+		r.known[name] = at
+		r.nodes[name].SetEndpoints(r.now, at, r.lists[at])
+	}
+}
+
+// play runs the fleet. Instances that watch the store see each change at once.
+func (r *release) play(d time.Duration) {
+	r.t.Helper()
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.run(200 * time.Millisecond)
+		for _, name := range r.names {
+			n := r.nodes[name]
+			age, ok := n.EndpointsEvidence.Age(n.elapsed)
+			if r.down[name] || r.unreachable[name] || ok && age < ownRead && !n.WatchesStore(r.now) {
+				continue
+			}
+			if r.at > r.known[name] || n.elapsed-r.read[name] >= watchPause {
+				r.apply(name, r.at)
+				r.read[name] = n.elapsed
+				n.EndpointsEvidence.Read(n.elapsed - watchPause/2)
+			}
+		}
+	}
+}
+
+// some returns about three in ten of the instances, fewer than half.
+func (r *release) some() []string {
+	var list []string
+	for i, name := range r.names {
+		if i%10 < 3 && 2*(len(list)+1) < len(r.names) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// domain returns the instances of a failure domain.
+func (r *release) domain() []string {
+	var list []string
+	for _, name := range r.names {
+		if r.nodes[name].Self.FailureDomain == "noord-b" {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// cutOff keeps messages from reaching instances, and the instances from reaching the store. The groups
+// hear each other.
+func (r *release) cutOff(names []string, together bool) []string {
+	for i, name := range names {
+		r.deaf[name], r.unreachable[name] = i+1, true
+		if together {
+			r.deaf[name] = 1
+		}
+	}
+	return names
+}
+
+// both keeps messages of the instances from reaching others, too.
+func (r *release) both(names []string) []string {
+	for _, name := range names {
+		for _, other := range r.names {
+			if r.deaf[other] != r.deaf[name] {
+				r.cut[[2]string{name, other}] = true
+			}
+		}
+	}
+	return names
+}
+
+// outOfStep are the ways in which instances miss that the store lists another version.
+var outOfStep = []struct {
+	name  string
+	begin func(r *release) []string
+}{
+	{"a failure domain is cut off", func(r *release) []string { return r.both(r.cutOff(r.domain(), true)) }},
+	{"some are cut off", func(r *release) []string { return r.both(r.cutOff(r.some(), false)) }},
+	{"some are cut off from other instances", func(r *release) []string {
+		names := r.both(r.cutOff(r.some(), false))
+		clear(r.unreachable)
+		return names
+	}},
+	{"nothing gets into a failure domain", func(r *release) []string { return r.cutOff(r.domain(), true) }},
+	{"some stand still", func(r *release) []string {
+		for _, name := range r.some() {
+			r.down[name] = true
+		}
+		return r.some()
+	}},
+	{"some don't reach the store", func(r *release) []string {
+		for _, name := range r.some() {
+			r.unreachable[name] = true
+		}
+		return r.some()
+	}},
+}
+
+// TestOutdatedInstanceDoesNotContinueStreams guards against streams that began at a version of which an
+// instance out of step hasn't heard, and that go on there at the one that it knows.
+func TestOutdatedInstanceDoesNotContinueStreams(t *testing.T) {
+	for _, instances := range []int{3, 8, 30, 124, 780} {
+		for _, c := range outOfStep {
+			t.Run(fmt.Sprint(instances, " instances, ", c.name), func(t *testing.T) {
+				if instances > 124 && !*largestFleet {
+					t.Skip("takes minutes; run with -largest-fleet")
+				}
+				r := newRelease(t, instances)
+				affected := c.begin(r)
+				r.play(200 * time.Millisecond)
+				r.write("", "v2", "v2")
+				late := map[string][]*pb.Report{}
+				r.play(1200 * time.Millisecond)
+				for _, name := range affected {
+					// What was sent to an instance that stands still arrives when it goes on.
+					late[name] = append(late[name], r.nodes[r.names[len(r.names)-1]].Compose(r.now, name))
+				}
+				for range 5 {
+					r.play(400 * time.Millisecond)
+					for _, name := range affected {
+						n := r.nodes[name]
+						if r.down[name] {
+							delete(r.down, name)
+							for _, m := range late[name] {
+								m.EndpointsRevision, m.EndpointsAge = uint64(r.known[name]), nil
+								if _, err := n.Receive(r.now, m); err != nil {
+									t.Fatal(err)
+								}
+							}
+						}
+						if v, how := n.TakeUp(r.now, "llm", "begun-elsewhere"); how == crgrant.TakeUpKnown {
+							t.Fatalf("%s, whose list has position %d of %d, lets a stream go on at version %d", name, r.known[name], r.at, v)
+						}
+					}
+					for _, name := range r.names {
+						if slices.Contains(affected, name) {
+							continue
+						}
+						if _, how := r.nodes[name].TakeUp(r.now, "llm", "begun-elsewhere"); how != crgrant.TakeUpUnknown {
+							t.Fatalf("%s, which is in step, takes a stream up as %d, want %d", name, how, crgrant.TakeUpUnknown)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestTakeUpsOfOneVersionCostNothing checks that streams of a service that has had one version are
+// taken up without a question and without a read of the store, also beside failures.
+func TestTakeUpsOfOneVersionCostNothing(t *testing.T) {
+	for _, instances := range []int{1, 3, 8, 30, 124, 780} {
+		for _, c := range []struct {
+			name  string
+			begin func(r *release)
+		}{
+			{"nothing happens", func(*release) {}},
+			{"messages are lost", func(r *release) { r.lossy = true }},
+			{"some are lost", func(r *release) {
+				for _, name := range r.some() {
+					r.down[name] = true
+				}
+			}},
+			{"the store is down", func(r *release) {
+				for _, name := range r.names {
+					r.unreachable[name] = true
+				}
+			}},
+		} {
+			t.Run(fmt.Sprint(instances, " instances, ", c.name), func(t *testing.T) {
+				if instances > 124 && !*largestFleet {
+					t.Skip("takes minutes; run with -largest-fleet")
+				}
+				r := newRelease(t, instances)
+				c.begin(r)
+				for range 15 {
+					r.play(400 * time.Millisecond)
+					for _, name := range r.names {
+						if r.down[name] || instances == 1 && r.unreachable[name] {
+							continue
+						}
+						if v, how := r.nodes[name].TakeUp(r.now, "llm", "begun-elsewhere"); how != crgrant.TakeUpKnown || v != 0 {
+							t.Fatalf("%s takes a stream up as %d at version %d, want %d at any", name, how, v, crgrant.TakeUpKnown)
+						}
+					}
+				}
+			})
+		}
+	}
+}
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -37,6 +37,8 @@
 	sequence       uint64
 	recentContexts []recentContext
 	echoes         map[string]*echo
+	// echoed tracks the age of the newest own stamp that another instance has returned.
+	echoed crfreshness.Evidence
 	// relayedContexts are the contexts that instances of the own failure domain reported,
 	// which a relay includes in its digests.
 	relayedContexts []recentContext
@@ -386,6 +388,7 @@
 		return
 	}
 	sent := m.GetEcho().AsDuration()
+	s.reports.echoed.Read(sent)
 	if m.RoutingAge != nil && s.routingTable != nil && m.GetRoutingVersion() <= s.routingTable.Version {
 		s.Evidence.Heard(sent, m.GetRoutingAge().AsDuration())
 	}
--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -67,6 +67,80 @@
 	return v, s.versions.Mixed(now, service)
 }
 
+// TakeUp tells how a stream that a caller takes up again may go on.
+type TakeUp int
+
+const (
+	// TakeUpKnown: at endpoints of the given version, or at any if it is zero because the service has
+	// only one.
+	TakeUpKnown TakeUp = iota
+	// TakeUpUnknown: at the version that another instance or the store may know.
+	TakeUpUnknown
+	// TakeUpOutdated: it isn't known whether the service has other versions than the listed ones,
+	// since the list is too old.
+	TakeUpOutdated
+)
+
+// String returns what is known of the stream's version, for logs.
+func (t TakeUp) String() string {
+	switch t {
+	case TakeUpKnown:
+		return "known"
+	case TakeUpUnknown:
+		return "unknown"
+	default:
+		return "outdated"
+	}
+}
+
+// TakeUp decides how the stream that the caller's attempt with the given id got may go on. The version
+// is zero unless it is known.
+func (s *State) TakeUp(now time.Time, service, id string) (crversion.Version, TakeUp) {
+	s.lock(now)
+	defer s.mu.Unlock()
+	if v, known := s.versions.Began(now, crhash.Of(id)); known {
+		return v, TakeUpKnown
+	}
+	switch {
+	case s.versions.Mixed(now, service):
+		return 0, TakeUpUnknown
+	case !s.knowledge(now).Current():
+		return 0, TakeUpOutdated
+	}
+	return 0, TakeUpKnown
+}
+
+// knowledge returns how recent the versions of services are. The caller holds the mutex.
+func (s *State) knowledge(now time.Time) crversion.Knowledge {
+	k, elapsed := crversion.Knowledge{Contact: s.roster.Contact(now)}, s.Elapsed()
+	k.ListAge, k.HasList = s.EndpointsEvidence.Age(elapsed)
+	if age, ok := s.versionsEvidence.Age(elapsed); ok && (!k.HasList || age < k.ListAge) {
+		k.ListAge, k.HasList = age, true
+	}
+	k.EchoAge, k.HasEcho = s.reports.echoed.Age(elapsed)
+	return k
+}
+
+// VersionsAge returns the age of what this instance knows of the versions of services, and false if it
+// knows nothing.
+func (s *State) VersionsAge(now time.Time) (time.Duration, bool) {
+	s.lock(now)
+	defer s.mu.Unlock()
+	k := s.knowledge(now)
+	return k.ListAge, k.HasList
+}
+
+// SeeVersions records the versions of endpoints that the store listed beside those in force, in a read
+// that began at the reading start of Elapsed.
+func (s *State) SeeVersions(now time.Time, start time.Duration, list []*pb.Endpoint) {
+	s.lock(now)
+	defer s.mu.Unlock()
+	for _, e := range list {
+		s.versions.See(e.GetService(), crversion.Of(e.GetVersion()))
+	}
+	s.versionsEvidence.Read(start)
+}
+
 // AwaitVersions makes the versions of streams count as unknown until AddVersions is called.
 func (s *State) AwaitVersions() {
 	s.init()
--- a/core/crversion/table.go
+++ b/core/crversion/table.go
@@ -102,6 +102,9 @@
 	return t.awaits || len(t.services[service]) > 1
 }
 
+// See records that endpoints of a version of a service are listed.
+func (t *Table) See(service string, v Version) { t.see(service, v, time.Time{}) }
+
 // History returns the versions of all mixed services, sorted by service.
 func (t *Table) History(now time.Time) []History {
 	t.forget(now)
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -166,6 +166,9 @@
 	// FindStream asks other instances for the version that began the stream that the caller's
 	// attempt with the given id got. It returns zero if none of them knows. It may be nil.
 	FindStream func(ctx context.Context, service, id string) crversion.Version
+	// ReadVersions reads from the store which versions services have, for an instance whose list of
+	// endpoints is too old to tell. It may be nil.
+	ReadVersions func(ctx context.Context) error
 
 	// crashProbes joins the probes of an endpoint that may have crashed.
 	crashProbes singleflight.Group
--- a/io/crforward/forward_test.go
+++ b/io/crforward/forward_test.go
@@ -118,6 +118,7 @@
 		r.state.SetEndpoints(begin, 1, list)
 		r.state.SetRouting(testRouting())
 		r.state.Evidence.Read(0)
+		r.state.EndpointsEvidence.Read(0)
 		dial := r.net.Dial("entry")
 		hop := &crhop.Client{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if r.dialing != nil {
--- a/io/crforward/trace.go
+++ b/io/crforward/trace.go
@@ -43,6 +43,10 @@
 	grantDelay time.Duration
 	// stated is what the endpoint of the grant stated of its load in its last answer, or nil.
 	stated *crgauge.Statement
+	// takeUp is how a stream that its caller takes up again was looked up, and versionsAge the age of
+	// what was known of versions then.
+	takeUp      crgrant.TakeUp
+	versionsAge time.Duration
 	// headerAt is when the header of a stream was written.
 	headerAt time.Time
 	// stream holds the times of the events of a stream. It is nil before a stream begins.
@@ -111,7 +115,8 @@
 		}
 	}
 	if x.request.LastEvent != "" {
-		fields = append(fields, zap.String("after-event", x.request.LastEvent))
+		fields = append(fields, zap.String("after-event", x.request.LastEvent), zap.String("resumes", x.request.Resumes),
+			zap.Stringer("stream-version", x.trace.takeUp), zap.Duration("versions-age-ms", x.trace.versionsAge))
 	}
 	if len(x.links) > 0 {
 		fields = append(fields, zap.String("context", strconv.FormatUint(crcontext.Subject(x.links), 16)))
--- a/io/crforward/version.go
+++ b/io/crforward/version.go
@@ -15,12 +15,20 @@
 	if x.request.LastEvent == "" || x.route.Kind != crroute.Stream {
 		return true
 	}
-	v, mixed := x.State.StreamVersion(time.Now(), x.service.Name, x.request.Resumes)
-	if v == 0 && mixed && x.FindStream != nil && x.request.Resumes != "" {
+	v, how := x.State.TakeUp(time.Now(), x.service.Name, x.request.Resumes)
+	x.trace.takeUp = how
+	x.trace.versionsAge, _ = x.State.VersionsAge(time.Now())
+	if how == crgrant.TakeUpOutdated && x.ReadVersions != nil {
+		if err := x.ReadVersions(ctx); err != nil {
+			x.trace.lastErr = err
+		}
+		v, how = x.State.TakeUp(time.Now(), x.service.Name, x.request.Resumes)
+	}
+	if how != crgrant.TakeUpKnown && x.FindStream != nil && x.request.Resumes != "" {
 		v = x.FindStream(ctx, x.service.Name, x.request.Resumes)
 	}
 	x.version.Store(uint32(v))
-	return v != 0 || !mixed
+	return v != 0 || how == crgrant.TakeUpKnown
 }
 
 // beginsAt records that an endpoint made the first event of the stream that is known here. From
--- a/io/crforward/version_test.go
+++ b/io/crforward/version_test.go
@@ -1,6 +1,8 @@
 package crforward_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -116,8 +118,49 @@
 		}
 		time.Sleep(2 * time.Minute)
 		r.state.Evidence.Read(r.state.Elapsed())
+		r.state.EndpointsEvidence.Read(r.state.Elapsed())
 		if got, _ := r.send(r.t.Context(), "/draft/", "", "Id", "q4", "Last", "3", "Resumes", "q"); got.Body != eventText(4, 6) {
 			t.Errorf("got %v with one version, want the last three events", got)
 		}
 	}, events(6, true), events(6, true))
 }
+
+// TestTakenUpStreamIsRefusedWhileVersionsAreOutdated guards against streams that go on at the only
+// version that an instance knows, which was out of step while endpoints of another one joined.
+func TestTakenUpStreamIsRefusedWhileVersionsAreOutdated(t *testing.T) {
+	takeUp := []string{"Id", "q2", "Last", "3", "Resumes", "q"}
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		read func(r *fixture) error
+		want string
+	}{
+		{"recent list", 2 * time.Second, nil, eventText(4, 6)},
+		{"old list", 3 * time.Second, nil, "stream-version-unknown\n"},
+		{"old list, the store fails", 3 * time.Second, func(*fixture) error { return errors.New("the store is down") }, "stream-version-unknown\n"},
+		{"old list, and no other version", 3 * time.Second, func(r *fixture) error {
+			r.state.SeeVersions(time.Now(), r.state.Elapsed(), []*pb.Endpoint{{Service: "app", Version: "v1"}})
+			return nil
+		}, eventText(4, 6)},
+		{"old list, and another version", 3 * time.Second, func(r *fixture) error {
+			r.state.SeeVersions(time.Now(), r.state.Elapsed(), []*pb.Endpoint{{Service: "app", Version: "v2"}})
+			return nil
+		}, "stream-version-unknown\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runFixture(t, func(r *fixture) {
+				time.Sleep(2 * time.Minute)
+				r.setVersions("v1", "v1")
+				time.Sleep(2 * time.Minute)
+				r.state.Evidence.Read(r.state.Elapsed())
+				r.state.EndpointsEvidence.Read(r.state.Elapsed() - c.age)
+				if c.read != nil {
+					r.forwarder.ReadVersions = func(context.Context) error { return c.read(r) }
+				}
+				if got, _ := r.send(r.t.Context(), "/draft/", "", takeUp...); got.Body != c.want {
+					t.Errorf("got %v by %q, want %q", got, r.arrivals, c.want)
+				}
+			}, events(6, true), events(6, true))
+		})
+	}
+}
--- a/io/crrouter/router.go
+++ b/io/crrouter/router.go
@@ -196,6 +196,7 @@
 		MaxEventDelay: s.EventDelay,
 		Disabled:      s.Disabled,
 		FindStream:    r.findStream,
+		ReadVersions:  r.Watcher.ReadVersions,
 	}
 	r.limitMemory()
 	packets, err := net.ListenPacket("udp4", s.Peer.String())
--- a/io/crwatch/version.go
+++ b/io/crwatch/version.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,6 +12,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"crocusrack/core/crbackoff"
+	"crocusrack/core/crgrant"
+	"crocusrack/core/crversion"
 	pb "crocusrack/schema/crrouter"
 )
 
@@ -26,6 +30,13 @@
 	keeperSettling = 2 * time.Second
 	// streamsReadPause is the time between two reads of these checkpoints.
 	streamsReadPause = 5 * time.Second
+	// versionsTimeout bounds a read of the versions of services. Callers wait for it.
+	versionsTimeout = 400 * time.Millisecond
+	// versionsWait is how long that read waits for changes.
+	versionsWait = time.Millisecond
+	// changesTime is the time since the last read up to which the changes since then are read instead
+	// of all endpoints. Each endpoint writes about once a second.
+	changesTime = 5 * time.Second
 )
 
 // Streams saves the versions that began streams under a name, and loads them all.
@@ -164,3 +175,66 @@
 	w.Log.Info("watch: took over the versions of streams", zap.Int("streams", count))
 	return nil
 }
+
+// errStoreLost means that the store wasn't asked, because earlier calls have failed.
+var errStoreLost = errors.New("the store is out of reach")
+
+// versionReads is the state of reads of the versions of services.
+type versionReads struct {
+	mu sync.Mutex
+	// failedAt is when the last read failed, by the clock of State.Elapsed, and err its error.
+	failedAt time.Duration
+	err      error
+	// at is the position of the last read, and readAt its start.
+	at     crgrant.Position
+	readAt time.Duration
+}
+
+// ReadVersions brings what is known of the versions of services up to date, for a stream that a caller
+// takes up while the list of endpoints is too old to tell whether there are others. It leaves the list
+// in force as it is. Calls that come together share a read. It fails at once while the store is out of
+// reach.
+func (w *Watcher) ReadVersions(ctx context.Context) error {
+	called := w.State.Elapsed()
+	r := &w.versionReads
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if age, ok := w.State.VersionsAge(time.Now()); ok && age <= crversion.RecentList {
+		return nil
+	}
+	if r.err != nil && r.failedAt >= called {
+		return r.err
+	}
+	if w.outage.isLost() {
+		return errStoreLost
+	}
+	start := w.State.Elapsed()
+	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
+	defer cancel()
+	changes, at, err := w.readChanges(ctx, start)
+	if err != nil {
+		r.err, r.failedAt = fmt.Errorf("versions of services: %w", err), w.State.Elapsed()
+		return r.err
+	}
+	r.err, r.at, r.readAt = nil, at, start
+	var list []*pb.Endpoint
+	for _, c := range changes {
+		if c.Value != nil && !c.Removed {
+			list = append(list, c.Value)
+		}
+	}
+	w.State.SeeVersions(time.Now(), start, list)
+	return nil
+}
+
+// readChanges returns the endpoints that changed since the last read, or all if that was long ago or
+// the store doesn't have its history any more. The caller holds the mutex of versionReads.
+func (w *Watcher) readChanges(ctx context.Context, start time.Duration) ([]Change[pb.Endpoint], crgrant.Position, error) {
+	if r := &w.versionReads; r.at > 0 && start-r.readAt < changesTime {
+		changes, at, err := w.Endpoints.Watch(ctx, r.at, versionsWait)
+		if !errors.Is(err, ErrGone) {
+			return changes, at, err
+		}
+	}
+	return w.Endpoints.List(ctx)
+}
--- a/io/crwatch/version_test.go
+++ b/io/crwatch/version_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"crocusrack/core/crgrant"
+	"crocusrack/core/crplace"
 	"crocusrack/core/crroute"
+	pb "crocusrack/schema/crrouter"
 )
 
 // beginStream begins a stream at any endpoint.
@@ -111,3 +115,56 @@
 		})
 	}
 }
+
+// TestOutdatedVersionsAreRead guards against streams that go on at the only version that an instance
+// knows, though the store lists others by then, and against a call of the store for each of them.
+func TestOutdatedVersionsAreRead(t *testing.T) {
+	const takeUps, most = 20, 2
+	for _, c := range []struct {
+		name  string
+		write func(s *store)
+		want  crgrant.TakeUp
+	}{
+		{"one version", func(*store) {}, crgrant.TakeUpKnown},
+		{"another version", func(s *store) {
+			s.endpoints["llm-2"] = &pb.Endpoint{Id: "llm-2", Service: "llm", Address: "10.0.1.2:80", Version: "v2"}
+		}, crgrant.TakeUpUnknown},
+		{"out of reach", func(s *store) { s.down = true }, crgrant.TakeUpOutdated},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, state := newStore("llm-1"), newState()
+				e, err := crgrant.NewEndpoint(time.Now(), s.endpoints["llm-1"])
+				if err != nil {
+					t.Fatal(err)
+				}
+				state.SetEndpoints(time.Now(), s.revision, []*crplace.Endpoint{e})
+				state.EndpointsEvidence.Read(0)
+				w := s.watcher(state)
+				for at := range 3 {
+					time.Sleep(3 * time.Second)
+					if _, how := state.TakeUp(time.Now(), "llm", "begun"); at == 0 && how != crgrant.TakeUpOutdated {
+						t.Fatalf("a list of 3 s ago tells that the version is %s", how)
+					}
+					s.do(func() { c.write(s) })
+					before := s.callCount()
+					var calls sync.WaitGroup
+					for range takeUps {
+						calls.Go(func() {
+							if err := w.ReadVersions(t.Context()); (err != nil) != (c.want == crgrant.TakeUpOutdated) {
+								t.Errorf("read %d: error %v", at, err)
+							}
+						})
+					}
+					calls.Wait()
+					if got := s.callCount() - before; got > most {
+						t.Errorf("%d calls of the store for %d streams, want %d at most", got, takeUps, most)
+					}
+					if _, how := state.TakeUp(time.Now(), "llm", "begun"); how != c.want {
+						t.Errorf("the version of a stream is %s after read %d, want %s", how, at, c.want)
+					}
+				}
+			})
+		})
+	}
+}
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -101,6 +101,8 @@
 
 	started time.Time
 	outage  outage
+	// versionReads joins the reads of the versions of services.
+	versionReads versionReads
 	// streamsRead is when the versions of streams were read last, in Unix nanoseconds.
 	streamsRead atomic.Int64
 }
