--- a/core/crgrant/outdated_test.go
+++ b/core/crgrant/outdated_test.go
@@ -9,6 +9,7 @@
 
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crplace"
+	"crocusrack/core/crversion"
 	pb "crocusrack/schema/crrouter"
 )
 
@@ -254,8 +255,8 @@
 						if r.down[name] || instances == 1 && r.unreachable[name] {
 							continue
 						}
-						if v, how := r.nodes[name].TakeUp(r.now, "llm", "begun-elsewhere"); how != crgrant.TakeUpKnown || v != 0 {
-							t.Fatalf("%s takes a stream up as %d at version %d, want %d at any", name, how, v, crgrant.TakeUpKnown)
+						if v, how := r.nodes[name].TakeUp(r.now, "llm", "begun-elsewhere"); how != crgrant.TakeUpKnown || v != crversion.Of("") {
+							t.Fatalf("%s takes a stream up as %d at version %d, want %d at %d", name, how, v, crgrant.TakeUpKnown, crversion.Of(""))
 						}
 					}
 				}
--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -72,7 +72,7 @@
 
 const (
 	// TakeUpKnown: at endpoints of the given version, or at any if it is zero because the service has
-	// only one.
+	// no endpoints.
 	TakeUpKnown TakeUp = iota
 	// TakeUpUnknown: at the version that another instance or the store may know.
 	TakeUpUnknown
@@ -107,7 +107,7 @@
 	case !s.knowledge(now).Current():
 		return 0, TakeUpOutdated
 	}
-	return 0, TakeUpKnown
+	return s.versions.Only(now, service), TakeUpKnown
 }
 
 // knowledge returns how recent the versions of services are. The caller holds the mutex.
--- a/core/crversion/table.go
+++ b/core/crversion/table.go
@@ -102,6 +102,18 @@
 	return t.awaits || len(t.services[service]) > 1
 }
 
+// Only returns the version of a service that has or had no other lately. It returns zero if the
+// service is mixed or has none.
+func (t *Table) Only(now time.Time, service string) Version {
+	if t.Mixed(now, service) {
+		return 0
+	}
+	for v := range t.services[service] {
+		return v
+	}
+	return 0
+}
+
 // See records that endpoints of a version of a service are listed.
 func (t *Table) See(service string, v Version) { t.see(service, v, time.Time{}) }
 
--- a/io/crforward/version_test.go
+++ b/io/crforward/version_test.go
@@ -164,3 +164,23 @@
 		})
 	}
 }
+
+// TestTakenUpStreamStaysAtTheOnlyVersion guards against streams whose service had one version when they
+// were taken up, and that go on at another one that is listed before an endpoint answers.
+func TestTakenUpStreamStaysAtTheOnlyVersion(t *testing.T) {
+	runFixture(t, func(r *fixture) {
+		time.Sleep(2 * time.Minute)
+		r.setVersions("v1")
+		time.Sleep(2 * time.Minute)
+		r.state.Evidence.Read(r.state.Elapsed())
+		r.state.EndpointsEvidence.Read(r.state.Elapsed())
+		r.dialing = func() error {
+			r.setVersions("v2", "v2")
+			r.dialing = nil
+			return errors.New("no answer")
+		}
+		if got, _ := r.send(r.t.Context(), "/draft/", "", "Id", "q2", "Last", "3", "Resumes", "q"); got.Status != http.StatusServiceUnavailable || r.arrived() != 0 {
+			t.Errorf("got %v by %q, want a refusal", got, r.arrivals)
+		}
+	}, events(6, true), events(6, true))
+}
