--- a/core/crgrant/outdated_test.go
+++ b/core/crgrant/outdated_test.go
@@ -204,7 +204,7 @@
 								}
 							}
 						}
-						if v, how := n.TakeUp(r.now, "llm", "begun-elsewhere"); how == crgrant.TakeUpKnown {
+						if v, how := n.TakeUp(r.now, "llm", "begun-elsewhere"); how != crgrant.TakeUpOutdated && how != crgrant.TakeUpUnknown {
 							t.Fatalf("%s, whose list has position %d of %d, lets a stream go on at version %d", name, r.known[name], r.at, v)
 						}
 					}
@@ -213,7 +213,7 @@
 							continue
 						}
 						if _, how := r.nodes[name].TakeUp(r.now, "llm", "begun-elsewhere"); how != crgrant.TakeUpUnknown {
-							t.Fatalf("%s, which is in step, takes a stream up as %d, want %d", name, how, crgrant.TakeUpUnknown)
+							t.Fatalf("%s, which is in step, takes a stream up as %s, want %s", name, how, crgrant.TakeUpUnknown)
 						}
 					}
 				}
@@ -255,8 +255,8 @@
 						if r.down[name] || instances == 1 && r.unreachable[name] {
 							continue
 						}
-						if v, how := r.nodes[name].TakeUp(r.now, "llm", "begun-elsewhere"); how != crgrant.TakeUpKnown || v != crversion.Of("") {
-							t.Fatalf("%s takes a stream up as %d at version %d, want %d at %d", name, how, v, crgrant.TakeUpKnown, crversion.Of(""))
+						if v, how := r.nodes[name].TakeUp(r.now, "llm", "begun-elsewhere"); how != crgrant.TakeUpOnly || v != crversion.Of("") {
+							t.Fatalf("%s takes a stream up as %s at version %d, want %s at %d", name, how, v, crgrant.TakeUpOnly, crversion.Of(""))
 						}
 					}
 				}
--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -71,9 +71,10 @@
 type TakeUp int
 
 const (
-	// TakeUpKnown: at endpoints of the given version, or at any if it is zero because the service has
-	// no endpoints.
+	// TakeUpKnown: at the given version, which began it.
 	TakeUpKnown TakeUp = iota
+	// TakeUpOnly: at the given version, which is the only one. It is zero if there is none.
+	TakeUpOnly
 	// TakeUpUnknown: at the version that another instance or the store may know.
 	TakeUpUnknown
 	// TakeUpOutdated: it isn't known whether the service has other versions than the listed ones,
@@ -86,6 +87,8 @@
 	switch t {
 	case TakeUpKnown:
 		return "known"
+	case TakeUpOnly:
+		return "only"
 	case TakeUpUnknown:
 		return "unknown"
 	default:
@@ -107,7 +110,7 @@
 	case !s.knowledge(now).Current():
 		return 0, TakeUpOutdated
 	}
-	return s.versions.Only(now, service), TakeUpKnown
+	return s.versions.Only(now, service), TakeUpOnly
 }
 
 // knowledge returns how recent the versions of services are. The caller holds the mutex.
--- a/io/crforward/forward.go
+++ b/io/crforward/forward.go
@@ -215,7 +215,10 @@
 	// events is the number of events of the stream that were read.
 	events atomic.Int64
 	// version is the crversion.Version that began the stream, or zero before the first event.
-	version atomic.Uint32
+	// unrecorded is true before the first event of a stream that its caller takes up and that goes on
+	// at the only version.
+	version    atomic.Uint32
+	unrecorded atomic.Bool
 	// answered is true once an answer has settled.
 	answered atomic.Bool
 	// left is true once the caller's connection was found to be closed.
--- a/io/crforward/version.go
+++ b/io/crforward/version.go
@@ -24,17 +24,19 @@
 		}
 		v, how = x.State.TakeUp(time.Now(), x.service.Name, x.request.Resumes)
 	}
-	if how != crgrant.TakeUpKnown && x.FindStream != nil && x.request.Resumes != "" {
+	found := how == crgrant.TakeUpKnown || how == crgrant.TakeUpOnly
+	if !found && x.FindStream != nil && x.request.Resumes != "" {
 		v = x.FindStream(ctx, x.service.Name, x.request.Resumes)
 	}
 	x.version.Store(uint32(v))
-	return v != 0 || how == crgrant.TakeUpKnown
+	x.unrecorded.Store(how == crgrant.TakeUpOnly)
+	return v != 0 || found
 }
 
 // beginsAt records that an endpoint made the first event of the stream that is known here. From
 // then on, the stream only goes on at endpoints of its version.
 func (x *exchange) beginsAt(g *crgrant.Grant) {
-	if !x.version.CompareAndSwap(0, uint32(crversion.Of(g.Endpoint.Version))) {
+	if !x.version.CompareAndSwap(0, uint32(crversion.Of(g.Endpoint.Version))) && !x.unrecorded.CompareAndSwap(true, false) {
 		return
 	}
 	id := x.request.ID
--- a/io/crforward/version_test.go
+++ b/io/crforward/version_test.go
@@ -184,3 +184,22 @@
 		}
 	}, events(6, true), events(6, true))
 }
+
+// TestTakenUpStreamIsKnownAfterwards guards against streams that an instance takes up and doesn't know
+// when their callers take them up there once more.
+func TestTakenUpStreamIsKnownAfterwards(t *testing.T) {
+	h := events(6, true)
+	runFixture(t, func(r *fixture) {
+		time.Sleep(2 * time.Minute)
+		r.setVersions("v1")
+		time.Sleep(2 * time.Minute)
+		r.state.Evidence.Read(r.state.Elapsed())
+		r.state.EndpointsEvidence.Read(r.state.Elapsed())
+		for i, id := range []string{"q2", "q3"} {
+			if got, _ := r.send(r.t.Context(), "/draft/", "", "Id", id, "Last", "3", "Resumes", "q"); got.Body != eventText(4, 6) {
+				t.Errorf("take-up %d: got %v by %q, want the last three events", i+1, got, r.arrivals)
+			}
+			r.setVersions("v1", "v2")
+		}
+	}, h, h)
+}
--- a/io/crwatch/version_test.go
+++ b/io/crwatch/version_test.go
@@ -125,7 +125,7 @@
 		write func(s *store)
 		want  crgrant.TakeUp
 	}{
-		{"one version", func(*store) {}, crgrant.TakeUpKnown},
+		{"one version", func(*store) {}, crgrant.TakeUpOnly},
 		{"another version", func(s *store) {
 			s.endpoints["llm-2"] = &pb.Endpoint{Id: "llm-2", Service: "llm", Address: "10.0.1.2:80", Version: "v2"}
 		}, crgrant.TakeUpUnknown},
