--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -248,12 +248,16 @@
 	return m, group
 }
 
-// AddStreams adds the streams that an instance has written to the store.
+// AddStreams adds the streams that an instance has written to the store. Those that are known already
+// stay as they are, so that keepers that read what others wrote don't keep them for ever.
 func (s *State) AddStreams(now time.Time, m *pb.KeptStreams) {
 	s.lock(now)
 	defer s.mu.Unlock()
 	for i, stream := range m.GetStreams() {
-		if i < len(m.GetVersions()) && m.Versions[i] != 0 {
+		if i >= len(m.GetVersions()) || m.Versions[i] == 0 {
+			continue
+		}
+		if _, known := s.versions.Began(now, stream); !known {
 			s.versions.Begin(now, stream, crversion.Version(m.Versions[i]))
 		}
 	}
--- a/io/crwatch/version.go
+++ b/io/crwatch/version.go
@@ -39,43 +39,118 @@
 	changesTime = 5 * time.Second
 )
 
-// Streams saves the versions that began streams under a name, and loads them all.
+// Streams keeps the versions that began streams in the store, in an object for each keeper's name.
 type Streams struct {
-	Save func(ctx context.Context, name string, data []byte) error
+	// Read returns the object with a name, or the zero value if there is none.
+	Read func(ctx context.Context, name string) (KeptStreams, error)
+	// Save replaces the object with a name that has the given revision, or creates it if the revision
+	// is zero. It returns the new revision. If the object has another revision, the error is a
+	// *StreamsConflict.
+	Save func(ctx context.Context, name string, revision uint64, data []byte) (uint64, error)
+	// Load returns the data of all objects.
 	Load func(ctx context.Context) ([][]byte, error)
 }
 
-// keepStreams saves the versions that began streams while this instance is the one that does. It is
-// called once the earlier checkpoints are loaded, which those of this instance replace.
+// KeptStreams is an object of Streams.
+type KeptStreams struct {
+	Revision uint64
+	Data     []byte
+}
+
+// StreamsConflict is the error of a write of streams beside that of another instance. Kept is what
+// that one wrote.
+type StreamsConflict struct{ Kept KeptStreams }
+
+func (e *StreamsConflict) Error() string {
+	return fmt.Sprintf("versions of streams: another instance has written revision %d", e.Kept.Revision)
+}
+
+// streamsKeeper writes the versions that began streams while this instance is a keeper.
+type streamsKeeper struct {
+	*Watcher
+	// name is that of the object, and revision the one that this instance knows, or zero. read is
+	// false before it is known what the object holds.
+	name     string
+	revision uint64
+	read     bool
+	written  []byte
+}
+
+// keepStreams saves the versions that began streams while this instance is the one that does. The
+// streams that an earlier keeper has written, or another one writes meanwhile, are kept.
 func (w *Watcher) keepStreams(ctx context.Context) {
-	var written []byte
+	k := &streamsKeeper{Watcher: w}
 	pause := keeperSettling
 	for crbackoff.Sleep(ctx, pause) == nil {
 		pause = streamsPause
-		m, name := w.State.KeptStreams(time.Now())
-		if name == "" {
-			continue
-		}
-		data, err := proto.Marshal(m)
-		if err != nil {
-			w.Log.Error("watch: versions of streams can't be encoded", zap.Error(err))
-			continue
-		}
-		if bytes.Equal(data, written) {
-			continue
-		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err = w.Streams.Save(callCtx, name, data)
+		size, err := k.save(callCtx)
 		cancel()
-		if err != nil {
+		var conflict *StreamsConflict
+		switch {
+		case errors.As(err, &conflict):
+			pause = 0
+		case err != nil:
+			// The write may have been done.
+			k.read = false
 			w.failed(ctx, err)
-			continue
+		default:
+			pause = max(pause, time.Duration(size)*time.Second/streamsRate)
 		}
-		written = data
-		pause = max(pause, time.Duration(len(data))*time.Second/streamsRate)
 	}
 }
 
+// save writes the streams if that is this instance's duty and they have changed. It returns the number
+// of bytes.
+func (k *streamsKeeper) save(ctx context.Context) (int, error) {
+	m, name := k.State.KeptStreams(time.Now())
+	if name == "" {
+		return 0, nil
+	}
+	if !k.read || name != k.name {
+		kept, err := k.Streams.Read(ctx, name)
+		if err != nil {
+			return 0, err
+		}
+		k.name, k.read, k.revision, k.written = name, true, kept.Revision, kept.Data
+		k.addStreams(kept.Data)
+		if m, name = k.State.KeptStreams(time.Now()); name == "" {
+			return 0, nil
+		}
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		k.Log.Error("watch: versions of streams can't be encoded", zap.Error(err))
+		return 0, nil
+	}
+	if bytes.Equal(data, k.written) {
+		return 0, nil
+	}
+	revision, err := k.Streams.Save(ctx, name, k.revision, data)
+	var conflict *StreamsConflict
+	if errors.As(err, &conflict) {
+		k.revision, k.written = conflict.Kept.Revision, conflict.Kept.Data
+		k.addStreams(conflict.Kept.Data)
+		return 0, err
+	}
+	if err != nil {
+		return 0, err
+	}
+	k.revision, k.written = revision, data
+	return len(data), nil
+}
+
+// addStreams adds the streams that were read, and returns their number.
+func (w *Watcher) addStreams(data []byte) int {
+	m := &pb.KeptStreams{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		w.Log.Warn("watch: kept versions of streams are not readable", zap.Error(err))
+		return 0
+	}
+	w.State.AddStreams(time.Now(), m)
+	return len(m.GetStreams())
+}
+
 // keepVersions loads the versions that mixed services had lately, and saves them when they change
 // while this instance is the one that writes to the store. An instance that starts after a loss of
 // all instances sees only the versions that are left.
@@ -164,13 +239,7 @@
 	}
 	count := 0
 	for _, data := range list {
-		m := &pb.KeptStreams{}
-		if err := proto.Unmarshal(data, m); err != nil {
-			w.Log.Warn("watch: kept versions of streams are not readable", zap.Error(err))
-			continue
-		}
-		w.State.AddStreams(time.Now(), m)
-		count += len(m.GetStreams())
+		count += w.addStreams(data)
 	}
 	w.Log.Info("watch: took over the versions of streams", zap.Int("streams", count))
 	return nil
--- a/io/crwatch/version_test.go
+++ b/io/crwatch/version_test.go
@@ -1,6 +1,7 @@
 package crwatch_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -83,6 +84,48 @@
 	})
 }
 
+// TestKeepersKeepEachOthersStreams guards against streams that are refused after a loss of instances
+// since a keeper has replaced what another one wrote: the one before it, or one from which it is cut
+// off.
+func TestKeepersKeepEachOthersStreams(t *testing.T) {
+	s := newStore("llm-1", "llm-2")
+	s.endpoints["llm-1"].Version, s.endpoints["llm-2"].Version = "v1", "v2"
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		var states []*crgrant.State
+		for range 2 {
+			state := newState()
+			states = append(states, state)
+			tasks.Go(func() { s.watcher(state).Run(ctx) })
+		}
+		time.Sleep(3 * time.Second)
+		for i := range 40 {
+			beginStream(states[i%2], fmt.Sprint(i))
+			time.Sleep(20 * time.Millisecond)
+		}
+		// Later streams begin at one of them only.
+		for i := range 20 {
+			beginStream(states[0], fmt.Sprint("later-", i))
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		tasks.Wait()
+	})
+	run(t, s, func(state *crgrant.State) {
+		time.Sleep(3 * time.Second)
+		for i := range 40 {
+			if v, _ := state.StreamVersion(time.Now(), "llm", fmt.Sprint(i)); v == 0 && i < 35 {
+				t.Errorf("the version of stream %d isn't kept", i)
+			}
+		}
+	})
+	const most = 2*60 + 60
+	if s.versionCalls > most {
+		t.Errorf("%d calls in 5 s, want %d at most", s.versionCalls, most)
+	}
+}
+
 // TestCallsForVersions counts the calls of the store for the versions of streams.
 func TestCallsForVersions(t *testing.T) {
 	for _, c := range []struct {
@@ -107,8 +150,8 @@
 			if s.versionCalls > c.most {
 				t.Errorf("%d calls in a minute, want %d at most", s.versionCalls, c.most)
 			}
-			for name, data := range s.streams {
-				if got := len(data); got > 12*20*21+8 {
+			for name, kept := range s.streams {
+				if got := len(kept.Data); got > 12*20*21+8 {
 					t.Errorf("%d bytes are kept for %s, want 12 for each stream of 20 s", got, name)
 				}
 			}
--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -42,7 +40,7 @@
 	// versions and streams are the kept versions of services and of streams, and versionCalls the
 	// calls for them.
 	versions     []byte
-	streams      map[string][]byte
+	streams      map[string]crwatch.KeptStreams
 	versionCalls int
 	// versionsDown is true while calls for kept versions to load them fail.
 	versionsDown bool
@@ -142,12 +140,18 @@
 			},
 		},
 		Streams: crwatch.Streams{
-			Save: func(_ context.Context, name string, data []byte) error {
-				return s.countVersionCall(func() { s.streams[name] = data })
+			Read: func(_ context.Context, name string) (kept crwatch.KeptStreams, err error) {
+				err = s.countVersionCall(func() { kept = s.streams[name] })
+				return kept, err
 			},
+			Save: s.saveStreams,
 			Load: func(context.Context) ([][]byte, error) {
 				var list [][]byte
-				err := s.countVersionCall(func() { list = slices.Collect(maps.Values(s.streams)) })
+				err := s.countVersionCall(func() {
+					for _, o := range s.streams {
+						list = append(list, o.Data)
+					}
+				})
 				return list, err
 			},
 		},
@@ -156,6 +160,22 @@
 	}
 }
 
+// saveStreams replaces an object of versions of streams that has the revision.
+func (s *store) saveStreams(_ context.Context, name string, revision uint64, data []byte) (uint64, error) {
+	var conflict *crwatch.StreamsConflict
+	err := s.countVersionCall(func() {
+		if o := s.streams[name]; o.Revision != revision {
+			conflict = &crwatch.StreamsConflict{Kept: o}
+			return
+		}
+		s.streams[name] = crwatch.KeptStreams{Revision: revision + 1, Data: data}
+	})
+	if conflict != nil {
+		err = conflict
+	}
+	return revision + 1, err
+}
+
 // countVersionCall makes and counts a call for kept versions, which fails while the store is down.
 func (s *store) countVersionCall(call func()) error {
 	s.mu.Lock()
@@ -169,7 +189,7 @@
 }
 
 func newStore(names ...string) *store {
-	s := &store{revision: 1, routing: &pb.Routing{Version: 3}, endpoints: map[string]*pb.Endpoint{}, streams: map[string][]byte{}}
+	s := &store{revision: 1, routing: &pb.Routing{Version: 3}, endpoints: map[string]*pb.Endpoint{}, streams: map[string]crwatch.KeptStreams{}}
 	for _, name := range names {
 		s.endpoints[name] = &pb.Endpoint{Id: name, Service: "llm", Address: "10.0.1.1:80", FailureDomain: "noord-a", Slots: 64}
 	}
