--- a/core/crgrant/one_way_test.go
+++ b/core/crgrant/one_way_test.go
@@ -59,7 +59,7 @@
 // TestOneWayCutsHoldUpNoNews guards against instances that learn too late of what the store has, since
 // they hear from those that watch it, which don't hear from them.
 func TestOneWayCutsHoldUpNoNews(t *testing.T) {
-	const bound = 2 * time.Second
+	const bound, fetchTimeout = 2 * time.Second, time.Second
 	for _, instances := range []int{3, 8, 30, 124, 780} {
 		for _, c := range oneWayCuts {
 			t.Run(fmt.Sprint(instances, " instances, ", c.name), func(t *testing.T) {
@@ -78,10 +78,15 @@
 					}
 					return pass(from, to, m)
 				}
+				// A link fetches one snapshot at a time, so that one in vain holds up others.
+				busy := map[string]time.Time{}
 				r.behind = func(name, other string) {
-					// A snapshot is asked for and answered.
-					if !c.blocked(r, name, other) && !c.blocked(r, other, name) {
+					switch {
+					case r.now.Before(busy[name]):
+					case !c.blocked(r, name, other) && !c.blocked(r, other, name):
 						r.apply(name, r.known[other])
+					default:
+						busy[name] = r.now.Add(fetchTimeout)
 					}
 				}
 				written := map[crgrant.Position]time.Time{}
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -257,7 +257,8 @@
 	// report should name other instances.
 	Answer, Introduce bool
 	// Behind is true if the sender has a newer version of the routing, of the endpoints or
-	// of the failure domains that are out of service.
+	// of the failure domains that are out of service, and can be asked for it: it hears from
+	// this instance.
 	Behind bool
 	// Forward holds the digests and bulletins to pass on to instances of the own failure
 	// domain.
@@ -298,7 +299,7 @@
 	if !s.recordReport(now, from, m) {
 		return ReceiveResult{From: from}, nil
 	}
-	h := ReceiveResult{From: from, New: !known, Behind: s.isBehind(m)}
+	h := ReceiveResult{From: from, New: !known, Behind: s.isBehind(m) && s.roster.Hears(now, from.Name)}
 	if s.roster.MustAnswer(now, from.Name, h.New, m.GetSeeking()) {
 		h.Answer, h.Introduce = true, s.roster.TellsNewInstance(now, from.Name, m.GetSeeking())
 	}
@@ -355,7 +356,7 @@
 	if !s.recordReport(now, from, m) {
 		return ReceiveResult{From: from}
 	}
-	return ReceiveResult{From: from, Behind: s.isBehind(m)}
+	return ReceiveResult{From: from, Behind: s.isBehind(m) && s.roster.Hears(now, name)}
 }
 
 // recordReport records the sender's status and its evidence about the store. It returns
--- a/core/crliveness/contact.go
+++ b/core/crliveness/contact.go
@@ -55,8 +55,13 @@
 	return c
 }
 
-// hears reports whether an instance that reports directly also hears from this one: it has returned a
+// Hears reports whether an instance that reports directly also hears from this one: it has returned a
 // recent stamp. Behind a cut in one direction it can't be asked for anything.
+func (r *Roster) Hears(now time.Time, name string) bool {
+	e := r.peers[name]
+	return e != nil && r.hears(now, e, r.contactTimeout(now))
+}
+
 func (r *Roster) hears(now time.Time, e *entry, timeout time.Duration) bool {
 	return now.Sub(e.heardDirectly) < timeout && now.Sub(e.echoed) < timeout
 }
