--- a/io/crhop/answer.go
+++ b/io/crhop/answer.go
@@ -39,6 +39,9 @@
 	// stopAbort prevents the abort that is otherwise made when the request's context
 	// ends. It returns false if that abort has begun already.
 	stopAbort func() bool
+	// watch resets the connection if the request isn't acknowledged. It is nil before the request is
+	// written.
+	watch *sendWatch
 	// bodyEnded is true once the body was read to its end. It is atomic because Close may
 	// run while Read does; if it is true, nothing reads from the connection any more.
 	bodyEnded atomic.Bool
@@ -59,6 +62,7 @@
 		a.reset()
 		return nil, &Error{Cause: ErrWithdrawn}
 	}
+	a.watch = a.watchSending()
 	if r.bodyLength() <= maxInlineBody {
 		a.write(r)
 		if a.writeErr != nil && a.nothingWritten() {
@@ -77,6 +81,8 @@
 		a.reset()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
+		} else if a.watch.hasExpired() {
+			err = errUnacknowledged
 		}
 		// The connection is closed, so the write ends.
 		<-a.written
@@ -99,10 +105,17 @@
 
 // reset ends the exchange and resets its connection.
 func (a *Answer) reset() {
+	a.stopWatch()
 	a.stopAbort()
 	a.conn.abort()
 }
 
+func (a *Answer) stopWatch() {
+	if a.watch != nil {
+		a.watch.stop()
+	}
+}
+
 // errNothingWritten marks a write that failed before its first byte.
 var errNothingWritten = errors.New("nothing was written")
 
@@ -221,6 +234,7 @@
 			a.reset()
 			return
 		}
+		a.stopWatch()
 		if !a.stopAbort() {
 			a.conn.Close()
 			return
--- a/io/crhop/client.go
+++ b/io/crhop/client.go
@@ -29,8 +29,9 @@
 	// dialTimeout is when an endpoint that doesn't answer counts as unreachable. It is
 	// several times the round trip between failure domains.
 	dialTimeout = 350 * time.Millisecond
-	// tcpUserTimeout bounds how long sent bytes may remain unacknowledged.
-	tcpUserTimeout = 1500 * time.Millisecond
+	// tcpUserTimeout bounds how long sent bytes may remain unacknowledged before the system ends the
+	// connection. A connection with an attempt is reset earlier, after unacknowledgedTimeout.
+	tcpUserTimeout = 2 * time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive,
 	// which detects an unreachable host while an answer is awaited.
 	keepAliveIdle     = time.Second
@@ -62,6 +63,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnConnect is called for each new connection. It may be nil.
 	OnConnect func()
+	// SendQueue returns what is known of a connection's send queue, and false if nothing is. If it is
+	// nil, the system is asked.
+	SendQueue func(c net.Conn) (SendQueue, bool)
 	// MaxHeaderBytes bounds the size of an answer's head, including the interim answers
 	// before it. Zero means 64 KiB.
 	MaxHeaderBytes int64
