--- a/core/crgrant/outdated_test.go
+++ b/core/crgrant/outdated_test.go
@@ -230,6 +230,39 @@
 	}
 }
 
+// TestInstanceThatIsBehindDoesNotContinueStreams guards against the same at an instance that has just
+// gone on: it is in contact again, and others tell that there is a newer list, which it doesn't have.
+func TestInstanceThatIsBehindDoesNotContinueStreams(t *testing.T) {
+	for _, instances := range []int{3, 8, 30, 124} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			r := newRelease(t, instances)
+			for _, name := range r.some() {
+				r.down[name] = true
+			}
+			r.play(200 * time.Millisecond)
+			r.write("", "v2", "v2")
+			r.play(1800 * time.Millisecond)
+			behind := map[string]bool{}
+			r.behind = func(name, _ string) { behind[name] = true }
+			for _, name := range r.some() {
+				delete(r.down, name)
+				r.unreachable[name] = true
+			}
+			for range 3 {
+				r.play(200 * time.Millisecond)
+				for _, name := range r.some() {
+					if v, how := r.nodes[name].TakeUp(r.now, "llm", "begun-elsewhere"); behind[name] && how != crgrant.TakeUpOutdated {
+						t.Fatalf("%s, which is behind, takes a stream up as %s at version %d", name, how, v)
+					}
+				}
+			}
+			if len(behind) == 0 {
+				t.Error("no instance learns that it is behind")
+			}
+		})
+	}
+}
+
 // TestTakeUpsOfOneVersionCostNothing checks that streams of a service that has had one version are
 // taken up without a question and without a read of the store, also beside failures.
 func TestTakeUpsOfOneVersionCostNothing(t *testing.T) {
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -39,6 +39,10 @@
 	echoes         map[string]*echo
 	// echoed tracks the age of the newest own stamp that another instance has returned.
 	echoed crfreshness.Evidence
+	// newestEndpoints is the newest position of the endpoints that another instance has told, and
+	// newestEndpointsAt when it did, by Elapsed.
+	newestEndpoints   Position
+	newestEndpointsAt time.Duration
 	// relayedContexts are the contexts that instances of the own failure domain reported,
 	// which a relay includes in its digests.
 	relayedContexts []recentContext
@@ -371,6 +375,9 @@
 		IgnoresEras: !m.GetKnowsEras(),
 	})
 	if fresh {
+		if at := s.positionFrom(endpointsPositionOf(m), s.endpointsPosition); at > s.reports.newestEndpoints {
+			s.reports.newestEndpoints, s.reports.newestEndpointsAt = at, s.Elapsed()
+		}
 		s.applyEcho(from.Name, m)
 		s.compareQuarantines(now, from.Name, m.Quarantines)
 	}
--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -121,6 +121,7 @@
 		k.ListAge, k.HasList = age, true
 	}
 	k.EchoAge, k.HasEcho = s.reports.echoed.Age(elapsed)
+	k.Behind = s.reports.newestEndpoints > s.endpointsPosition && elapsed-s.reports.newestEndpointsAt < k.ListAge
 	return k
 }
 
--- a/core/crversion/knowledge.go
+++ b/core/crversion/knowledge.go
@@ -27,6 +27,8 @@
 	// returned has the age EchoAge.
 	HasEcho bool
 	EchoAge time.Duration
+	// Behind is true if another instance has told of a newer list since this one was read.
+	Behind  bool
 	Contact crliveness.Contact
 }
 
@@ -39,6 +41,8 @@
 		return false
 	case k.ListAge <= RecentList:
 		return true
+	case k.Behind:
+		return false
 	case k.Contact.Known == 1:
 		return k.ListAge <= maxListAge
 	case !k.HasEcho || k.EchoAge > echoTimeout:
--- a/core/crversion/knowledge_test.go
+++ b/core/crversion/knowledge_test.go
@@ -38,6 +38,10 @@
 			}
 		})
 	}
+	behind := crversion.Knowledge{HasList: true, ListAge: time.Second, HasEcho: true, Behind: true, Contact: crliveness.Contact{Heard: 3, Known: 3}}
+	if behind.Current() {
+		t.Error("a list is current although another instance has a newer one")
+	}
 	if (crversion.Knowledge{Contact: crliveness.Contact{Heard: 3, Known: 3}, HasEcho: true}).Current() {
 		t.Error("a list that was never read is current")
 	}
