--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	x.State.CountRequest(time.Now(), x.service.Name)
 	if !x.findVersion(ctx) {
-		x.refuse("stream-version-unknown", defaultRetryAfter)
+		x.refuse("stream-version-unknown", x.versionRetryAfter())
 		return
 	}
 	unsent := 0
--- a/io/crforward/version.go
+++ b/io/crforward/version.go
@@ -33,6 +33,18 @@
 	return v != 0 || found
 }
 
+// outdatedRetryAfter is the Retry-After time of a stream that is refused because this instance is out of
+// step. Others are likely to know its version.
+const outdatedRetryAfter = 50 * time.Millisecond
+
+// versionRetryAfter returns the Retry-After time of a stream whose version wasn't found.
+func (x *exchange) versionRetryAfter() time.Duration {
+	if x.trace.takeUp == crgrant.TakeUpOutdated {
+		return outdatedRetryAfter
+	}
+	return defaultRetryAfter
+}
+
 // beginsAt records that an endpoint made the first event of the stream that is known here. From
 // then on, the stream only goes on at endpoints of its version.
 func (x *exchange) beginsAt(g *crgrant.Grant) {
--- a/io/crforward/version_test.go
+++ b/io/crforward/version_test.go
@@ -157,9 +157,14 @@
 				if c.read != nil {
 					r.forwarder.ReadVersions = func(context.Context) error { return c.read(r) }
 				}
-				if got, _ := r.send(r.t.Context(), "/draft/", "", takeUp...); got.Body != c.want {
+				got, h := r.send(r.t.Context(), "/draft/", "", takeUp...)
+				if got.Body != c.want {
 					t.Errorf("got %v by %q, want %q", got, r.arrivals, c.want)
 				}
+				// Another instance is likely to know the version.
+				if after := h.Get("Retry-After"); got.Status == http.StatusServiceUnavailable && after != "0.050" {
+					t.Errorf("the caller is told to come back after %q s, want 0.050", after)
+				}
 			}, events(6, true), events(6, true))
 		})
 	}
