--- a/io/crwatch/watch_test.go
+++ b/io/crwatch/watch_test.go
@@ -12,7 +12,6 @@
 
 	"crocusrack/core/crgrant"
 	"crocusrack/core/crplace"
-	"crocusrack/io/crwatch"
 	pb "crocusrack/schema/crrouter"
 )
 
