--- a/core/crliveness/contact.go
+++ b/core/crliveness/contact.go
@@ -70,28 +70,28 @@
 // from it, as behind a cut in one direction. Those in contact with each other choose theirs among
 // themselves. In a large fleet, the relay of a domain watches for it if it has no contact with the
 // domain of a watcher.
-func (r *Roster) watchesAlone(now time.Time, v *view, timeout time.Duration) bool {
-	if v.size == 1 {
-		return false
+func (r *Roster) watchesAlone(now time.Time, v *view) bool {
+	timeout := r.contactTimeout(now)
+	large, domains := v.heard > smallFleet, make(map[string]bool)
+	for _, c := range v.watchers {
+		e := r.peers[c.Name]
+		if e == nil || r.hears(now, e, timeout) || large && c.FailureDomain == r.Self.FailureDomain {
+			// Without an entry it is this instance.
+			return false
+		}
+		domains[c.FailureDomain] = true
 	}
-	large := v.heard > smallFleet
 	if large && v.relay != r.Self.Name {
 		return false
 	}
-	domains, names := make(map[string]bool), make(map[string]bool)
-	ahead := 0
+	own, ahead := watchScore(r.Self), 0
 	for _, e := range r.peers {
-		if !r.hears(now, e, timeout) {
-			continue
-		}
-		domains[e.FailureDomain], names[e.Name] = true, true
-		if !e.StoreLost && !e.Leaving && !e.IgnoresEras && e.watchScore < watchScore(r.Self) {
-			ahead++
-		}
-	}
-	for _, c := range v.watchers {
-		if names[c.Name] || large && (domains[c.FailureDomain] || c.FailureDomain == r.Self.FailureDomain) {
+		switch {
+		case !r.hears(now, e, timeout):
+		case large && domains[e.FailureDomain]:
 			return false
+		case !e.StoreLost && !e.Leaving && !e.IgnoresEras && e.watchScore < own:
+			ahead++
 		}
 	}
 	return large || ahead < watcherCount
--- a/core/crliveness/roster.go
+++ b/core/crliveness/roster.go
@@ -178,10 +178,10 @@
 	if e.Run == s.Run && s.Sequence <= e.Sequence {
 		return false
 	}
-	r.dropViewOnChange(now, e, i, s)
 	if e.Run != s.Run || now.Sub(e.heardDirectly) > r.contactTimeout(now) {
 		e.echoed = now
 	}
+	r.dropViewOnChange(now, e, i, s)
 	e.setInstance(i)
 	e.Status, e.heard, e.relayed = s, now, false
 	e.heardDirectly, e.relaySince = now, time.Time{}
--- a/core/crliveness/view.go
+++ b/core/crliveness/view.go
@@ -53,7 +53,7 @@
 	}
 	v.watchers = r.findWatchers(now)
 	r.cachedView = v
-	v.watchesAlone = r.watchesAlone(now, v, r.contactTimeout(now))
+	v.watchesAlone = r.watchesAlone(now, v)
 	return v
 }
 
