--- a/io/crhop/unacknowledged.go
+++ b/io/crhop/unacknowledged.go
@@ -22,11 +22,11 @@
 // errUnacknowledged means that an endpoint's host acknowledged nothing of the rest of a request.
 var errUnacknowledged = errors.New("the request was not acknowledged for " + unacknowledgedTimeout.String())
 
-// SendQueue is what a connection has sent.
+// SendQueue is what was written to a connection, in bytes.
 type SendQueue struct {
-	// Queued is the number of bytes that were written and aren't acknowledged, and Acknowledged that
-	// of all acknowledged ones.
-	Queued, Acknowledged uint64
+	// Unsent waits until the other end reads, InFlight is sent and not acknowledged, and
+	// Acknowledged is the sum of what was acknowledged.
+	Unsent, InFlight, Acknowledged uint64
 }
 
 // sendQueue returns the send queue of a TCP connection, and false if the system doesn't tell.
@@ -47,7 +47,8 @@
 		}
 		var info *unix.TCPInfo
 		if info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			q = SendQueue{Queued: uint64(max(0, queued)), Acknowledged: info.Bytes_acked}
+			q.Unsent, q.Acknowledged = uint64(info.Notsent_bytes), info.Bytes_acked
+			q.InFlight = uint64(max(0, queued-int(info.Notsent_bytes)))
 		}
 	})
 	return q, controlErr == nil && err == nil
@@ -104,10 +105,11 @@
 		read = w.answer.client.SendQueue
 	}
 	q, ok := read(w.answer.conn.Conn)
-	if !ok || q.Queued == 0 && w.isWritten() {
+	if !ok || q.Unsent == 0 && q.InFlight == 0 && w.isWritten() {
 		return
 	}
-	if w.checked && q.Acknowledged != w.acknowledged {
+	// An endpoint that doesn't read for a while is in reach.
+	if q.InFlight == 0 || w.checked && q.Acknowledged != w.acknowledged {
 		w.since = time.Now()
 	}
 	w.checked, w.acknowledged = true, q.Acknowledged
--- a/io/crhop/unacknowledged_test.go
+++ b/io/crhop/unacknowledged_test.go
@@ -55,15 +55,18 @@
 		queue func(after time.Duration) (crhop.SendQueue, bool)
 		want  time.Duration
 	}{
-		{"nothing is acknowledged", func(time.Duration) (crhop.SendQueue, bool) { return crhop.SendQueue{Queued: 100}, true }, 1500 * time.Millisecond},
+		{"nothing is acknowledged", func(time.Duration) (crhop.SendQueue, bool) { return crhop.SendQueue{InFlight: 100}, true }, 1500 * time.Millisecond},
 		{"a part is acknowledged, on a kept connection", func(after time.Duration) (crhop.SendQueue, bool) {
 			if after < 600*time.Millisecond {
-				return crhop.SendQueue{Queued: 100, Acknowledged: 7000}, true
+				return crhop.SendQueue{InFlight: 100, Acknowledged: 7000}, true
 			}
-			return crhop.SendQueue{Queued: 50, Acknowledged: 7050}, true
+			return crhop.SendQueue{InFlight: 50, Acknowledged: 7050}, true
 		}, 2250 * time.Millisecond},
 		{"acknowledged bit by bit", func(after time.Duration) (crhop.SendQueue, bool) {
-			return crhop.SendQueue{Queued: 100, Acknowledged: uint64(after.Milliseconds())}, true
+			return crhop.SendQueue{InFlight: 100, Acknowledged: uint64(after.Milliseconds())}, true
+		}, 10 * time.Second},
+		{"the endpoint doesn't read", func(time.Duration) (crhop.SendQueue, bool) {
+			return crhop.SendQueue{Unsent: 100, Acknowledged: 100}, true
 		}, 10 * time.Second},
 		{"acknowledged", func(time.Duration) (crhop.SendQueue, bool) { return crhop.SendQueue{Acknowledged: 100}, true }, 10 * time.Second},
 		{"the system doesn't tell", func(time.Duration) (crhop.SendQueue, bool) { return crhop.SendQueue{}, false }, 10 * time.Second},
