--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -208,6 +208,7 @@
 		Leaving:           s.roster.Status.Leaving,
 		StoreLost:         s.roster.Status.StoreLost,
 		KnowsEras:         true,
+		OutOfContact:      s.roster.OutOfContact(now),
 		Stamp:             durationpb.New(elapsed),
 		EndpointsRevision: s.endpointsPosition.Revision(),
 		EndpointsEra:      s.endpointsPosition.Era(),
@@ -367,12 +368,13 @@
 // false for a report that is older than one already received.
 func (s *State) recordReport(now time.Time, from crliveness.Instance, m *pb.Report) bool {
 	fresh := s.roster.Report(now, from, crliveness.Status{
-		Run:         m.GetRun(),
-		Sequence:    m.GetSequence(),
-		Ready:       m.GetReady(),
-		Leaving:     m.GetLeaving(),
-		StoreLost:   m.GetStoreLost(),
-		IgnoresEras: !m.GetKnowsEras(),
+		Run:          m.GetRun(),
+		Sequence:     m.GetSequence(),
+		Ready:        m.GetReady(),
+		Leaving:      m.GetLeaving(),
+		StoreLost:    m.GetStoreLost(),
+		IgnoresEras:  !m.GetKnowsEras(),
+		OutOfContact: m.GetOutOfContact(),
 	})
 	if fresh {
 		if at := s.positionFrom(endpointsPositionOf(m), s.endpointsPosition); at > s.reports.newestEndpoints {
--- a/core/crliveness/contact.go
+++ b/core/crliveness/contact.go
@@ -7,6 +7,9 @@
 const (
 	relayedContactTimeout = 1500 * time.Millisecond
 	digestFleetSize       = 128
+	// relayContactTimeout is the silence from which on the relay of a failure domain counts another
+	// domain as not heard from. Relays exchange digests each 0.4 s at least.
+	relayContactTimeout = 1250 * time.Millisecond
 )
 
 // Contact counts the instances that one hears from.
@@ -35,9 +38,20 @@
 	return limit
 }
 
-// Contact returns how many instances this one hears from.
+// Contact returns how many instances this one hears from. In a fleet of more than digestFleetSize, news
+// of other failure domains is older than a cut has to be; there the relay of each domain tells when it
+// hears from too few others.
 func (r *Roster) Contact(now time.Time) Contact {
 	limit := r.contactTimeout(now)
+	var silent map[string]bool
+	if v := r.view(now); v.heard > digestFleetSize {
+		switch e := r.peers[v.relay]; {
+		case e == nil:
+			silent = r.silentDomains(now)
+		case e.OutOfContact:
+			silent = r.otherDomains()
+		}
+	}
 	c := Contact{Known: 1, Heard: 1}
 	for _, e := range r.peers {
 		last := e.added
@@ -48,13 +62,40 @@
 			continue
 		}
 		c.Known++
-		if !e.heard.IsZero() && now.Sub(e.heard) < limit {
+		if !e.heard.IsZero() && now.Sub(e.heard) < limit && !silent[e.FailureDomain] {
 			c.Heard++
 		}
 	}
 	return c
 }
 
+// OutOfContact reports whether this instance is the relay of its failure domain and hears from half of
+// the known instances or fewer.
+func (r *Roster) OutOfContact(now time.Time) bool { return r.view(now).outOfContact }
+
+// otherDomains returns the failure domains of other instances than those of the own domain.
+func (r *Roster) otherDomains() map[string]bool {
+	domains := make(map[string]bool)
+	for _, e := range r.peers {
+		if e.FailureDomain != r.Self.FailureDomain {
+			domains[e.FailureDomain] = true
+		}
+	}
+	return domains
+}
+
+// silentDomains returns the other failure domains of which no instance has lately reported to this one,
+// a relay.
+func (r *Roster) silentDomains(now time.Time) map[string]bool {
+	silent := r.otherDomains()
+	for _, e := range r.peers {
+		if now.Sub(e.heardDirectly) < relayContactTimeout {
+			delete(silent, e.FailureDomain)
+		}
+	}
+	return silent
+}
+
 // Hears reports whether an instance that reports directly also hears from this one: it has returned a
 // recent stamp. Behind a cut in one direction it can't be asked for anything.
 func (r *Roster) Hears(now time.Time, name string) bool {
--- a/core/crliveness/roster.go
+++ b/core/crliveness/roster.go
@@ -83,6 +83,9 @@
 	// IgnoresEras is true if the instance doesn't notice that the store came back from a
 	// copy, as earlier releases.
 	IgnoresEras bool
+	// OutOfContact is true for the relay of a failure domain that hears from the relays of too few
+	// others to know what is new in the fleet.
+	OutOfContact bool
 }
 
 // entry is what the roster knows about another instance.
--- a/core/crliveness/view.go
+++ b/core/crliveness/view.go
@@ -19,6 +19,9 @@
 	watchers                []candidate
 	// watchesAlone is true if this instance watches the store in place of the watchers.
 	watchesAlone bool
+	// outOfContact is true if this instance is the relay of its failure domain and hears from half of
+	// the known instances or fewer.
+	outOfContact bool
 }
 
 // view returns the current view, and computes it if the last one is out of date.
@@ -54,6 +57,7 @@
 	v.watchers = r.findWatchers(now)
 	r.cachedView = v
 	v.watchesAlone = r.watchesAlone(now, v)
+	v.outOfContact = v.heard > digestFleetSize && v.relay == r.Self.Name && !r.Contact(now).Majority()
 	return v
 }
 
