Keep what the cases share under review/11

Cause: review/common isn't a file of the review's form.

Change: the package of stand-ins moves to review/11/common/platform.

--- a/review/13/platform/main.go
+++ b/review/13/platform/main.go
@@ -11,7 +11,7 @@
 	"time"
 
 	crstandin "crocusrack/platform/standin"
-	crreview "crocusrack/review/common/platform"
+	crreview "crocusrack/review/11/common/platform"
 )
 
 const (
@@ -57,7 +57,7 @@
 	}()
 	f := &crreview.Fleet{Program: program, Folder: folder, Record: record}
 	defer f.Stop()
-	f.EndAfter(110 * time.Second)
+	f.EndAfter(110*time.Second, recordFile)
 	if err := f.Store.Put(crstandin.KindRouting, crstandin.RoutingName, crreview.Routing(3)); err != nil {
 		return false, err
 	}
