Begin streams only at versions of which the store has a record

Cause: an instance tells others of a stream only if its service has several versions when the stream begins. Once a second version was listed, a stream that nobody knew might have begun at either, and was refused.

Change: the store has a record of the versions at which streams of a service begin, also of services with one. A version that is listed beside others isn't recorded at first, and no resumable stream begins there, so that a stream which nobody knows began at the recorded one, and goes on there. Instances that list several versions tell of their streams under way. The instance that writes to the store records the new version when all have had time to, none was lost or started in the last 8 s (12 s at most), or the recorded versions have under half of the slots. Streams begin there after the time in which an instance that hasn't heard of the record counts as out of contact; such an instance reads list and record before it goes on with a stream. The record is replaced by revision, so that instances that write it side by side add to each other's. It is read without AllowStale. Beside instances of an earlier release, which begin streams at any version, versions count as recorded at once.

TestMixed, TestHistoryOutlivesTable (now TestRecordOutlivesTable) and TestOutdatedInstanceDoesNotContinueStreams expected a service to be mixed as soon as a second version is listed; they now expect it from the record on, and the latter checks all instances from the moment at which a stream may begin at the new version, also when they fall out of step right after the record was written. TestCallsForVersions: a fleet's first start costs one write besides the read, a later start the read as before. TestVersionsOfStreamsOutliveAllInstances: the record keeps just the version that is left.

--- a/core/crgrant/digest.go
+++ b/core/crgrant/digest.go
@@ -119,7 +119,7 @@
 		}
 		members = append(members, &pb.Member{
 			Peer: peerProto(i), Run: status.Run, Ready: status.Ready, Leaving: status.Leaving, StoreLost: status.StoreLost,
-			KnowsEras: !status.IgnoresEras,
+			KnowsEras: !status.IgnoresEras, RecordsVersions: !status.IgnoresRecord,
 		})
 		m.SilentMs = append(m.SilentMs, uint32(now.Sub(heard).Milliseconds()))
 	}
@@ -170,7 +170,7 @@
 	for _, m := range members {
 		p := m.GetPeer()
 		hash = crhash.Mix(hash, crhash.Of(fmt.Sprint(p.GetName(), " ", p.GetFront(), " ", p.GetPeer(), " ",
-			m.GetRun(), " ", m.GetReady(), " ", m.GetLeaving(), " ", m.GetStoreLost(), " ", m.GetKnowsEras())))
+			m.GetRun(), " ", m.GetReady(), " ", m.GetLeaving(), " ", m.GetStoreLost(), " ", m.GetKnowsEras(), " ", m.GetRecordsVersions())))
 	}
 	return hash
 }
@@ -245,7 +245,7 @@
 		silent := time.Duration(m.GetSilentMs()[n]) * time.Millisecond
 		s.roster.Relayed(now, i, crliveness.Status{
 			Run: member.GetRun(), Ready: member.GetReady(), Leaving: member.GetLeaving(), StoreLost: member.GetStoreLost(),
-			IgnoresEras: !member.GetKnowsEras(),
+			IgnoresEras: !member.GetKnowsEras(), IgnoresRecord: !member.GetRecordsVersions(),
 		}, now.Add(-silent))
 		named[i.Name] = true
 	}
--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -107,12 +107,16 @@
 	versionsEvidence crfreshness.Evidence
 	// begunStreams are the streams that their holders weren't told of yet.
 	begunStreams []begunStream
-	quarantine   crquarantine.Table
-	limits       crlimit.Table
-	gauges       crgauge.Table
-	meanOthers   meanOthers
-	limitGate    crlimit.Gate
-	shares       crshare.Table
+	// toldServices are the services whose earlier streams were queued in begunStreams.
+	toldServices map[string]bool
+	// startedAt is when a method was called first.
+	startedAt  time.Time
+	quarantine crquarantine.Table
+	limits     crlimit.Table
+	gauges     crgauge.Table
+	meanOthers meanOthers
+	limitGate  crlimit.Gate
+	shares     crshare.Table
 	// patience holds the times that callers of each route wait.
 	patience map[string]*crretry.Patience
 	// fullRefusals counts the refusals of full endpoints without another outcome in between.
@@ -214,6 +218,9 @@
 	s.init()
 	s.mu.Lock()
 	s.callTime = now
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	s.work.Expire(now.Add(-workExpiry))
 	s.failures.DropReportsBefore(now.Add(-workExpiry))
 	s.rollouts.Expire(now.Add(-workExpiry))
@@ -254,6 +261,8 @@
 	// read is true once the endpoint has read the prompt, and answered once its answer goes
 	// on.
 	read, answered bool
+	// resumable is true if callers may take up the stream that answers the request.
+	resumable bool
 	// trial is true if the request is sent in the trial after a quarantine.
 	trial bool
 	rampSample
@@ -264,7 +273,7 @@
 func (s *State) Grant(now time.Time, a Request) *Grant {
 	s.lock(now)
 	defer s.mu.Unlock()
-	g := &Grant{state: s, links: a.Links, parts: a.Parts, route: a.Route, started: now, startElapsed: s.Elapsed()}
+	g := &Grant{state: s, links: a.Links, parts: a.Parts, route: a.Route, resumable: a.Resumable, started: now, startElapsed: s.Elapsed()}
 	until, trial, blocked := s.blockedUntil(now, a.Parts)
 	if blocked {
 		g.Reason, g.RetryAfter = crplace.Quarantined, max(crretry.MinReturnDelay, until.Sub(now))
@@ -320,6 +329,18 @@
 		}
 		return s.placer.Place(now, r), false
 	}
+	r.Allowed = s.beginsAt(now, a)
+	choice, newVersion = s.placeByRollout(now, a, r)
+	if r.Allowed != nil && choice.Reason == crplace.NoEndpoint {
+		r.Allowed = nil
+		return s.placeByRollout(now, a, r)
+	}
+	return choice, newVersion
+}
+
+// placeByRollout chooses the endpoint for a request among those of the version that the service's
+// roll-out takes it to, if there is one.
+func (s *State) placeByRollout(now time.Time, a Request, r crplace.Request) (choice crplace.Choice, newVersion bool) {
 	arm := s.rollouts.Choose(now, crrollout.Request{
 		Service: a.Service.Name, Route: a.Route, Draw: a.Draw, Repeat: len(a.Tried) > 0,
 	})
@@ -327,16 +348,25 @@
 		return s.placer.Place(now, r), false
 	}
 	s.evaluateRollouts(now)
-	r.Allowed = arm.Allows
+	allowed := r.Allowed
+	r.Allowed = both(allowed, arm.Allows)
 	choice = s.placer.Place(now, r)
 	other, ok := arm.Fallback()
 	if choice.Endpoint != nil || choice.Reason == crplace.PrefillInProgress || !ok {
 		return choice, arm.Target()
 	}
-	r.Allowed = other.Allows
+	r.Allowed = both(allowed, other.Allows)
 	return s.placer.Place(now, r), false
 }
 
+// both returns the condition that an endpoint meets two others. The first may be nil.
+func both(first, second func(crledger.Key) bool) func(crledger.Key) bool {
+	if first == nil {
+		return second
+	}
+	return func(k crledger.Key) bool { return first(k) && second(k) }
+}
+
 const (
 	// An endpoint is assumed to have read a prompt once it takes longer than forecast
 	// by readMargin times the forecast read time plus overheadMargin times the estimated
--- a/core/crgrant/report.go
+++ b/core/crgrant/report.go
@@ -208,6 +208,7 @@
 		Leaving:           s.roster.Status.Leaving,
 		StoreLost:         s.roster.Status.StoreLost,
 		KnowsEras:         true,
+		RecordsVersions:   true,
 		OutOfContact:      s.roster.OutOfContact(now),
 		Stamp:             durationpb.New(elapsed),
 		EndpointsRevision: s.endpointsPosition.Revision(),
@@ -225,6 +226,7 @@
 	}
 	m.EndpointsAge = ageProto(&s.EndpointsEvidence, elapsed)
 	m.OutsAge = ageProto(&s.OutOfServiceEvidence, elapsed)
+	s.addRecordedVersions(now, m)
 	if e := s.reports.echoes[to]; e != nil {
 		m.Echo, m.EchoRun = durationpb.New(e.stamp), e.run
 	}
@@ -375,8 +377,11 @@
 		StoreLost:    m.GetStoreLost(),
 		IgnoresEras:  !m.GetKnowsEras(),
 		OutOfContact: m.GetOutOfContact(),
+
+		IgnoresRecord: !m.GetRecordsVersions(),
 	})
 	if fresh {
+		s.applyRecordedVersions(now, m)
 		if at := s.positionFrom(endpointsPositionOf(m), s.endpointsPosition); at > s.reports.newestEndpoints {
 			s.reports.newestEndpoints, s.reports.newestEndpointsAt = at, s.Elapsed()
 		}
--- a/core/crgrant/request.go
+++ b/core/crgrant/request.go
@@ -39,6 +39,8 @@
 	// Stream is what is known of the stream that answers the request, or nil if it isn't
 	// answered by a stream.
 	Stream *Stream
+	// Resumable is true if callers may take up the stream that answers the request.
+	Resumable bool
 	// Version is the version that began the stream that goes on, or zero if any may answer.
 	Version crversion.Version
 }
--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"crocusrack/core/crhash"
+	"crocusrack/core/crledger"
 	"crocusrack/core/crliveness"
 	"crocusrack/core/crplace"
 	"crocusrack/core/crversion"
@@ -19,6 +20,9 @@
 	askedHolders = 3
 	// maxStreamsPerMessage bounds the streams in a message.
 	maxStreamsPerMessage = 64
+	// maxStreamNews bounds the streams that are told at a time. They take some 20 KB for two holders,
+	// which a link holds in its queue.
+	maxStreamNews = 512
 )
 
 // begunStream is a stream whose version is to be told to its holders.
@@ -37,6 +41,47 @@
 		}
 	}
 	s.versions.SetListed(now, listed)
+	s.heedEarlierReleases(now)
+	s.tellOwnStreams(now)
+}
+
+// heedEarlierReleases makes streams begin at all versions while instances of earlier releases begin
+// them there.
+func (s *State) heedEarlierReleases(now time.Time) {
+	if len(s.versions.Newcomers(now)) > 0 && !s.roster.AllKeepRecord(now) {
+		s.versions.RecordAll(now)
+	}
+}
+
+// tellOwnStreams queues the streams that began here before their service had several versions, once it
+// has.
+func (s *State) tellOwnStreams(now time.Time) {
+	several := s.versions.ServicesOfSeveral(now)
+	for service := range several {
+		if s.toldServices[service] {
+			continue
+		}
+		for _, o := range s.versions.Own(now, service) {
+			s.begunStreams = append(s.begunStreams, begunStream{o.ID, o.Version})
+		}
+		if s.OnStreams != nil && len(s.begunStreams) > 0 {
+			s.OnStreams()
+		}
+	}
+	s.toldServices = several
+}
+
+// beginsAt returns which endpoints a request may go to whose stream callers may take up, or nil if it
+// may go to all. Streams don't begin at versions that the store has no record of.
+func (s *State) beginsAt(now time.Time, a Request) func(crledger.Key) bool {
+	if !a.Resumable || !s.versions.Several(now, a.Service.Name) {
+		return nil
+	}
+	s.heedEarlierReleases(now)
+	return func(k crledger.Key) bool {
+		e := s.placer.Endpoint(k)
+		return e != nil && s.versions.MayBegin(now, a.Service.Name, crversion.Of(e.Version))
+	}
 }
 
 // BeginStream records that the endpoint made the first event of the stream that the caller's attempt
@@ -47,8 +92,8 @@
 	s.lock(now)
 	defer s.mu.Unlock()
 	stream, v := crhash.Of(id), crversion.Of(g.Endpoint.Version)
-	s.versions.Begin(now, stream, v)
-	if !s.versions.Mixed(now, g.Endpoint.Service) {
+	s.versions.BeginOwn(now, g.Endpoint.Service, stream, v, g.resumable)
+	if !s.versions.Several(now, g.Endpoint.Service) {
 		return
 	}
 	s.begunStreams = append(s.begunStreams, begunStream{stream, v})
@@ -104,6 +149,7 @@
 	if v, known := s.versions.Began(now, crhash.Of(id)); known {
 		return v, TakeUpKnown
 	}
+	s.heedEarlierReleases(now)
 	switch {
 	case s.versions.Mixed(now, service):
 		return 0, TakeUpUnknown
@@ -135,14 +181,17 @@
 }
 
 // SeeVersions records the versions of endpoints that the store listed beside those in force, in a read
-// that began at the reading start of Elapsed.
-func (s *State) SeeVersions(now time.Time, start time.Duration, list []*pb.Endpoint) {
+// that began at the reading start of Elapsed, and the record that it had after that.
+func (s *State) SeeVersions(now time.Time, start time.Duration, list []*pb.Endpoint, record *pb.VersionHistory) {
 	s.lock(now)
 	defer s.mu.Unlock()
 	for _, e := range list {
-		s.versions.See(e.GetService(), crversion.Of(e.GetVersion()))
+		s.versions.See(now, e.GetService(), crversion.Of(e.GetVersion()))
 	}
+	s.versions.AddFullHistory(now, historiesOf(record), s.spreadTime(now))
 	s.versionsEvidence.Read(start)
+	s.heedEarlierReleases(now)
+	s.tellOwnStreams(now)
 }
 
 // AwaitVersions makes the versions of streams count as unknown until AddVersions is called.
@@ -153,25 +202,61 @@
 	s.versions.AwaitHistory()
 }
 
-// VersionHistory returns the versions that mixed services have or had lately.
-func (s *State) VersionHistory(now time.Time) *pb.VersionHistory {
+// VersionRecord returns the record for the store: the versions at which streams of services begin or
+// began lately, and those at which they are to begin once this is written.
+func (s *State) VersionRecord(now time.Time) *pb.VersionHistory {
 	s.lock(now)
 	defer s.mu.Unlock()
+	newcomers := s.versions.Newcomers(now)
 	m := &pb.VersionHistory{}
 	for _, h := range s.versions.History(now) {
 		o := &pb.ServiceVersions{Service: h.Service}
 		for _, v := range h.Versions {
 			o.Versions = append(o.Versions, uint32(v))
 		}
+		for v, listed := range newcomers[h.Service] {
+			if s.isDue(now, h, listed) {
+				o.Versions = append(o.Versions, uint32(v))
+			}
+		}
+		slices.Sort(o.Versions)
 		m.Services = append(m.Services, o)
 	}
 	return m
 }
 
-// AddVersions adds the versions that another instance knew of.
+// isDue reports whether streams should begin at a version that was listed some time ago beside the
+// recorded ones of its service.
+func (s *State) isDue(now time.Time, recorded crversion.History, listed time.Duration) bool {
+	if !s.roster.Contact(now).Majority() {
+		return false
+	}
+	n := crversion.Newcomer{
+		Listed:      listed,
+		Undisturbed: min(s.roster.Undisturbed(now), now.Sub(s.startedAt)),
+		LossTime:    s.roster.LossTime(now),
+	}
+	for _, e := range s.endpoints {
+		if e.Service != recorded.Service || e.Draining {
+			continue
+		}
+		n.Slots += e.Slots
+		if slices.Contains(recorded.Versions, crversion.Of(e.Version)) {
+			n.RecordedSlots += e.Slots
+		}
+	}
+	return n.Due()
+}
+
+// AddVersions adds the versions that the record in the store names.
 func (s *State) AddVersions(now time.Time, m *pb.VersionHistory) {
 	s.lock(now)
 	defer s.mu.Unlock()
+	s.versions.AddHistory(now, historiesOf(m), s.spreadTime(now))
+	s.tellOwnStreams(now)
+}
+
+func historiesOf(m *pb.VersionHistory) []crversion.History {
 	var list []crversion.History
 	for _, o := range m.GetServices() {
 		h := crversion.History{Service: o.GetService()}
@@ -180,17 +265,48 @@
 		}
 		list = append(list, h)
 	}
-	s.versions.AddHistory(now, list)
+	return list
+}
+
+func (s *State) spreadTime(now time.Time) time.Duration {
+	return crversion.SpreadTime(s.roster.NewsTime(now))
+}
+
+// addRecordedVersions adds to a message at which versions of services with several streams begin.
+func (s *State) addRecordedVersions(now time.Time, m *pb.Report) {
+	for _, p := range s.versions.Recorded(now) {
+		m.RecordedServices = append(m.RecordedServices, p.Service)
+		m.RecordedVersions = append(m.RecordedVersions, uint32(p.Version))
+	}
+}
+
+func (s *State) applyRecordedVersions(now time.Time, m *pb.Report) {
+	for i, service := range m.GetRecordedServices() {
+		if i < len(m.GetRecordedVersions()) && m.RecordedVersions[i] != 0 {
+			s.versions.AddRecorded(now, crversion.Pair{Service: service, Version: crversion.Version(m.RecordedVersions[i])}, s.spreadTime(now))
+		}
+	}
+	if len(m.GetRecordedServices()) > 0 {
+		s.tellOwnStreams(now)
+	}
+}
+
+// HasStreamNews reports whether there are deliveries for StreamNews to return.
+func (s *State) HasStreamNews(now time.Time) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return len(s.begunStreams) > 0
 }
 
-// StreamNews returns the deliveries that tell the holders of streams which versions began them, since
-// the last call.
+// StreamNews returns the deliveries that tell the holders of streams which versions began them. It
+// covers maxStreamNews streams at most, and the next call the others.
 func (s *State) StreamNews(now time.Time) []Delivery {
 	s.lock(now)
 	defer s.mu.Unlock()
 	messages := make(map[netip.AddrPort]*pb.Report)
 	var list []Delivery
-	for _, b := range s.begunStreams {
+	told := s.begunStreams[:min(len(s.begunStreams), maxStreamNews)]
+	for _, b := range told {
 		for _, i := range s.streamHolders(now, b.stream) {
 			m := messages[i.Peer]
 			if m == nil || len(m.Streams) >= maxStreamsPerMessage {
@@ -202,7 +318,7 @@
 			m.Streams, m.StreamVersions = append(m.Streams, b.stream), append(m.StreamVersions, uint32(b.version))
 		}
 	}
-	s.begunStreams = s.begunStreams[:0]
+	s.begunStreams = slices.Delete(s.begunStreams, 0, len(told))
 	slices.SortFunc(list, func(a, b Delivery) int { return cmp.Compare(a.To.String(), b.To.String()) })
 	return list
 }
@@ -233,13 +349,13 @@
 }
 
 // KeptStreams returns the streams that began lately and their versions, and the name under which this
-// instance writes them to the store. The name is empty if another one does, or if no service is
-// mixed.
+// instance writes them to the store. The name is empty if another one does, or if no service
+// has or had several versions lately.
 func (s *State) KeptStreams(now time.Time) (*pb.KeptStreams, string) {
 	s.lock(now)
 	defer s.mu.Unlock()
 	keeper, group := s.roster.Keeper(now)
-	if keeper.Name != s.Self.Name || len(s.versions.History(now)) == 0 {
+	if keeper.Name != s.Self.Name || len(s.versions.ServicesOfSeveral(now)) == 0 {
 		return nil, ""
 	}
 	m := &pb.KeptStreams{}
--- a/core/crliveness/contact.go
+++ b/core/crliveness/contact.go
@@ -26,6 +26,19 @@
 // Complete reports whether all known instances are heard from.
 func (c Contact) Complete() bool { return c.Heard == c.Known }
 
+// NewsTime returns the time after which an instance that hasn't heard what all others know counts as out
+// of contact.
+func (r *Roster) NewsTime(now time.Time) time.Duration { return r.contactTimeout(now) }
+
+// LossTime returns the time after which an instance that was lost counts as lost.
+func (r *Roster) LossTime(now time.Time) time.Duration {
+	limit := max(SilentAfter, r.silentAfter)
+	if r.Large(now) {
+		limit = max(limit, relayedSilentAfter)
+	}
+	return limit
+}
+
 // contactTimeout returns the silence from which on an instance counts as not heard from.
 func (r *Roster) contactTimeout(now time.Time) time.Duration {
 	limit := max(SilentAfter, r.silentAfter)
--- a/core/crliveness/roster.go
+++ b/core/crliveness/roster.go
@@ -86,6 +86,9 @@
 	// OutOfContact is true for the relay of a failure domain that hears from the relays of too few
 	// others to know what is new in the fleet.
 	OutOfContact bool
+	// IgnoresRecord is true if the instance begins streams at versions that aren't recorded, as
+	// earlier releases.
+	IgnoresRecord bool
 }
 
 // entry is what the roster knows about another instance.
@@ -107,6 +110,9 @@
 	// followed is the time when it last treated this instance as the relay of its
 	// domain.
 	followed time.Time
+	// runSince is when its present run was heard of first, and backSince when it was last heard from
+	// again after a silence.
+	runSince, backSince time.Time
 	// echoed is when this instance sent the newest stamp that the other has returned. It is the time
 	// of the first report where the other has just been heard from.
 	echoed time.Time
@@ -185,6 +191,7 @@
 		e.echoed = now
 	}
 	r.dropViewOnChange(now, e, i, s)
+	r.noteReturn(now, e, s)
 	e.setInstance(i)
 	e.Status, e.heard, e.relayed = s, now, false
 	e.heardDirectly, e.relaySince = now, time.Time{}
@@ -229,6 +236,7 @@
 		s.Sequence = max(s.Sequence, e.Sequence)
 	}
 	r.dropViewOnChange(now, e, i, s)
+	r.noteReturn(now, e, s)
 	e.setInstance(i)
 	e.Status, e.heard, e.relayed = s, heard, true
 }
--- a/io/crforward/run.go
+++ b/io/crforward/run.go
@@ -154,6 +154,7 @@
 		Service: x.service, Route: x.route.Name, Draw: crhash.Of(x.request.ID),
 		Links: x.links, Parts: x.parts, Tried: x.tried, Target: x.route.Target, SkipPrefillWait: skipPrefillWait,
 		Priority: x.priority, Deadline: x.limit, Stream: x.progress(), Version: crversion.Version(x.version.Load()),
+		Resumable: x.route.Kind == crroute.Stream && x.route.Resumable,
 	}
 	if x.account != nil {
 		r.Account, r.Weight = x.account.Name, x.account.Weight
--- a/io/crlink/link.go
+++ b/io/crlink/link.go
@@ -178,9 +178,7 @@
 			l.sendDigests(time.Now())
 			continue
 		case <-l.streamsNow:
-			for _, d := range l.State.StreamNews(time.Now()) {
-				l.send(d.To, d.Report)
-			}
+			l.tellStreams()
 			continue
 		case <-timer.C:
 		case <-l.reportNow:
@@ -198,6 +196,19 @@
 	}
 }
 
+// streamNewsPause is the time between two parts of the news of streams.
+const streamNewsPause = 40 * time.Millisecond
+
+// tellStreams sends a part of the news of streams, and has Run send the next one after a pause.
+func (l *Link) tellStreams() {
+	for _, d := range l.State.StreamNews(time.Now()) {
+		l.send(d.To, d.Report)
+	}
+	if l.State.HasStreamNews(time.Now()) {
+		time.AfterFunc(streamNewsPause, l.TellStreams)
+	}
+}
+
 // report sends the bulletin, if there is a new one, and the full or brief reports that are
 // due. If urgent is true, it sends the reports for urgent news instead of those of the
 // current tick.
--- a/io/crwatch/watch.go
+++ b/io/crwatch/watch.go
@@ -88,8 +88,8 @@
 	Register func(ctx context.Context, i crliveness.Instance) error
 	// Contexts stores which contexts the endpoints hold.
 	Contexts Checkpoint
-	// Versions stores which versions mixed services have or had lately.
-	Versions Checkpoint
+	// Versions stores at which versions of services streams begin or began lately.
+	Versions Record
 	// Streams stores which versions began streams lately.
 	Streams Streams
 	Log     *zap.Logger
@@ -110,6 +110,9 @@
 // Run reads and watches the store until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	w.started = time.Now()
+	if w.Versions.Read != nil {
+		w.State.AwaitVersions()
+	}
 	var tasks sync.WaitGroup
 	tasks.Go(func() { follow(ctx, w, &routingKind{w: w}) })
 	tasks.Go(func() { follow(ctx, w, &endpointsKind{w: w}) })
@@ -119,9 +122,8 @@
 		tasks.Go(func() { w.followRollouts(ctx) })
 		tasks.Go(func() { w.recordRollouts(ctx) })
 	}
-	if w.Versions.Load != nil {
-		w.State.AwaitVersions()
-		tasks.Go(func() { w.keepVersions(ctx) })
+	if w.Versions.Read != nil {
+		tasks.Go(func() { w.keepRecord(ctx) })
 	}
 	if !w.State.Disabled.Has(crswitch.ContextCheckpoints) {
 		tasks.Go(func() { w.keepContexts(ctx) })
