Keep the streams of an instance's first seconds in the store

Cause: the keeper of a fleet, which writes the versions of streams to the store, wrote none in its first two seconds. After a loss of all instances there is no other that does. The pause is there since an instance that doesn't know the others yet takes itself for the keeper; since such writes lose nothing, and only cost calls.

One that hears nobody waits for two seconds as before. A keeper that finds again and again what another one has written pauses for up to 1.6 s, at first not at all, as before.

--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -355,7 +355,7 @@
 	s.lock(now)
 	defer s.mu.Unlock()
 	keeper, group := s.roster.Keeper(now)
-	if keeper.Name != s.Self.Name || len(s.versions.ServicesOfSeveral(now)) == 0 {
+	if keeper.Name != s.Self.Name || len(s.versions.ServicesOfSeveral(now)) == 0 || !s.roster.MayKeep(now, now.Sub(s.startedAt)) {
 		return nil, ""
 	}
 	m := &pb.KeptStreams{}
--- a/core/crliveness/holder.go
+++ b/core/crliveness/holder.go
@@ -42,6 +42,24 @@
 	return list
 }
 
+const (
+	// minKeeperSettling and maxKeeperSettling bound the time after a start in which an instance may take
+	// itself for a keeper since it doesn't know the others yet. It grows by settlingPerInstance.
+	minKeeperSettling   = 400 * time.Millisecond
+	maxKeeperSettling   = 2 * time.Second
+	settlingPerInstance = 2500 * time.Microsecond
+)
+
+// MayKeep reports whether an instance that has run for the given time knows enough others to tell whether
+// it is a keeper.
+func (r *Roster) MayKeep(now time.Time, running time.Duration) bool {
+	settling := maxKeeperSettling
+	if heard := r.view(now).heard; heard > 1 {
+		settling = min(max(minKeeperSettling, time.Duration(heard)*settlingPerInstance), maxKeeperSettling)
+	}
+	return running >= settling
+}
+
 // Keeper returns the live instance that writes what is to outlive all instances to the store: that
 // of this instance's failure domain in a large fleet, else that of the fleet. It also returns the
 // name of what it keeps that for.
--- a/io/crwatch/store_test.go
+++ b/io/crwatch/store_test.go
@@ -36,7 +36,7 @@
 	// versions and streams are the kept versions of services and of streams, and versionCalls the
 	// calls for them.
 	versions     crwatch.Kept
-	streams      map[string]crwatch.Kept
+	streams      map[string]*crwatch.Kept
 	versionCalls int
 	// versionsDown is true while calls for kept versions to load them fail.
 	versionsDown bool
@@ -129,7 +129,7 @@
 				if s.recordDown {
 					return 0, errDown
 				}
-				return s.saveKept(&s.versions, revision, data)
+				return s.saveKept(func() *crwatch.Kept { return &s.versions }, revision, data)
 			},
 			Read: func(context.Context) (kept crwatch.Kept, err error) {
 				err = s.countVersionCall(func() { kept = s.versions })
@@ -141,7 +141,7 @@
 		},
 		Streams: crwatch.Streams{
 			Read: func(_ context.Context, name string) (kept crwatch.Kept, err error) {
-				err = s.countVersionCall(func() { kept = s.streams[name] })
+				err = s.countVersionCall(func() { kept = *s.keptStreams(name) })
 				return kept, err
 			},
 			Save: s.saveStreams,
@@ -162,16 +162,22 @@
 
 // saveStreams replaces an object of versions of streams that has the revision.
 func (s *store) saveStreams(_ context.Context, name string, revision uint64, data []byte) (uint64, error) {
-	kept := s.streams[name]
-	revision, err := s.saveKept(&kept, revision, data)
-	s.streams[name] = kept
-	return revision, err
+	return s.saveKept(func() *crwatch.Kept { return s.keptStreams(name) }, revision, data)
+}
+
+// keptStreams returns an object of versions of streams. The caller holds the mutex.
+func (s *store) keptStreams(name string) *crwatch.Kept {
+	if s.streams[name] == nil {
+		s.streams[name] = &crwatch.Kept{}
+	}
+	return s.streams[name]
 }
 
 // saveKept replaces an object that has the revision.
-func (s *store) saveKept(kept *crwatch.Kept, revision uint64, data []byte) (uint64, error) {
+func (s *store) saveKept(find func() *crwatch.Kept, revision uint64, data []byte) (uint64, error) {
 	var conflict *crwatch.Conflict
 	err := s.countVersionCall(func() {
+		kept := find()
 		if kept.Revision != revision {
 			conflict = &crwatch.Conflict{Kept: *kept}
 			return
@@ -214,7 +220,7 @@
 }
 
 func newStore(names ...string) *store {
-	s := &store{revision: 1, routing: &pb.Routing{Version: 3}, endpoints: map[string]*pb.Endpoint{}, streams: map[string]crwatch.Kept{}}
+	s := &store{revision: 1, routing: &pb.Routing{Version: 3}, endpoints: map[string]*pb.Endpoint{}, streams: map[string]*crwatch.Kept{}}
 	for _, name := range names {
 		s.endpoints[name] = &pb.Endpoint{Id: name, Service: "llm", Address: "10.0.1.1:80", FailureDomain: "noord-a", Slots: 64}
 	}
--- a/io/crwatch/version.go
+++ b/io/crwatch/version.go
@@ -20,9 +20,9 @@
 	streamsPause = 100 * time.Millisecond
 	// streamsRate bounds these checkpoints, in bytes per second.
 	streamsRate = 256 << 10
-	// keeperSettling is the time after a start in which an instance writes no checkpoint. It may take
-	// itself for the keeper before it knows the others.
-	keeperSettling = 2 * time.Second
+	// maxConflictPause bounds the pause of a keeper that finds again and again what another one has
+	// written.
+	maxConflictPause = 1600 * time.Millisecond
 	// streamsReadPause is the time between two reads of these checkpoints.
 	streamsReadPause = 5 * time.Second
 )
@@ -67,7 +67,8 @@
 // streams that an earlier keeper has written, or another one writes meanwhile, are kept.
 func (w *Watcher) keepStreams(ctx context.Context) {
 	k := &streamsKeeper{Watcher: w}
-	pause := keeperSettling
+	conflicts, retry := 0, crbackoff.Backoff{Base: 2 * streamsPause, Max: maxConflictPause}
+	pause := streamsPause
 	for crbackoff.Sleep(ctx, pause) == nil {
 		pause = streamsPause
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -77,11 +78,16 @@
 		switch {
 		case errors.As(err, &conflict):
 			pause = 0
+			if conflicts > 0 {
+				pause = retry.Wait(conflicts)
+			}
+			conflicts++
 		case err != nil:
 			// The write may have been done.
 			k.read = false
 			w.failed(ctx, err)
 		default:
+			conflicts = max(0, conflicts-1)
 			pause = max(pause, time.Duration(size)*time.Second/streamsRate)
 		}
 	}
--- a/io/crwatch/version_test.go
+++ b/io/crwatch/version_test.go
@@ -218,3 +218,75 @@
 		})
 	}
 }
+
+// TestStreamsOfFirstSecondAreKept guards against streams that are refused after a second loss of all
+// instances since they had begun right after the first one.
+func TestStreamsOfFirstSecondAreKept(t *testing.T) {
+	for _, instances := range []int{1, 2, 8} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			s := newStore("llm-1", "llm-2")
+			s.endpoints["llm-1"].Version, s.endpoints["llm-2"].Version = "v1", "v2"
+			var ids []string
+			for range 2 {
+				runFleet(t, s, instances, func(states []*crgrant.State) {
+					time.Sleep(500 * time.Millisecond)
+					for range 10 {
+						for i, state := range states {
+							ids = append(ids, fmt.Sprint(len(ids)))
+							beginStream(state, ids[len(ids)-1])
+							tellStreams(states, i)
+						}
+						time.Sleep(100 * time.Millisecond)
+					}
+					time.Sleep(200 * time.Millisecond)
+				})
+			}
+			runFleet(t, s, instances, func(states []*crgrant.State) {
+				time.Sleep(100 * time.Millisecond)
+				lost := 0
+				for _, id := range ids {
+					if v, _ := states[0].StreamVersion(time.Now(), "llm", id); v == 0 {
+						lost++
+					}
+				}
+				if lost > 0 && instances > 1 {
+					t.Errorf("the versions of %d of %d streams aren't kept", lost, len(ids))
+				}
+			})
+		})
+	}
+}
+
+// TestManyKeepersMakeFewCalls checks the calls for versions of streams of instances that start together
+// and take themselves for keepers, since they hear only one other each.
+func TestManyKeepersMakeFewCalls(t *testing.T) {
+	const pairs, most = 40, 400
+	s := newStore("llm-1", "llm-2")
+	s.endpoints["llm-1"].Version, s.endpoints["llm-2"].Version = "v1", "v2"
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		var fleets [][]*crgrant.State
+		for range pairs {
+			states := newStates(2)
+			fleets = append(fleets, states)
+			for _, state := range states {
+				tasks.Go(func() { s.watcher(state).Run(ctx) })
+			}
+		}
+		for range 10 {
+			time.Sleep(200 * time.Millisecond)
+			for i, states := range fleets {
+				exchange(t, states)
+				beginStream(states[0], fmt.Sprint(i, time.Now()))
+				tellStreams(states, 0)
+			}
+		}
+		cancel()
+		tasks.Wait()
+	})
+	t.Logf("%d calls in 2 s", s.versionCalls)
+	if s.versionCalls > 2*most {
+		t.Errorf("%d calls in 2 s, want %d at most", s.versionCalls, 2*most)
+	}
+}
