Tell a new keeper of streams that began shortly before

Of the streams of two versions that began after the keeper was lost, half and more were refused after a loss of all instances some seconds later.

Cause: a stream is told to the keeper that an instance knows when it begins. While that one is lost and not yet known to be, or right after a start, when the instance knows nobody, the next keeper never hears of the stream, and doesn't write it.

Change: an instance that sees another keeper, or another run of it, tells it of its streams of the last 5 s. Nothing is told again while the keeper stays.

--- a/core/crgrant/grant.go
+++ b/core/crgrant/grant.go
@@ -109,6 +109,9 @@
 	begunStreams []begunStream
 	// toldServices are the services whose earlier streams were queued in begunStreams.
 	toldServices map[string]bool
+	// keeperRun is the run of the keeper that was told of streams, or zero if this instance was the
+	// keeper.
+	keeperRun uint64
 	// startedAt is when a method was called first.
 	startedAt  time.Time
 	quarantine crquarantine.Table
--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -29,6 +29,8 @@
 type begunStream struct {
 	stream  uint64
 	version crversion.Version
+	// keeperOnly is true if the other holders were told before.
+	keeperOnly bool
 }
 
 // setVersions tells the versions of services which ones endpoints have now.
@@ -61,8 +63,8 @@
 		if s.toldServices[service] {
 			continue
 		}
-		for _, o := range s.versions.Own(now, service) {
-			s.begunStreams = append(s.begunStreams, begunStream{o.ID, o.Version})
+		for _, o := range s.versions.Own(now, service, crversion.Lifetime) {
+			s.begunStreams = append(s.begunStreams, begunStream{stream: o.ID, version: o.Version})
 		}
 		if s.OnStreams != nil && len(s.begunStreams) > 0 {
 			s.OnStreams()
@@ -96,7 +98,7 @@
 	if !s.versions.Several(now, g.Endpoint.Service) {
 		return
 	}
-	s.begunStreams = append(s.begunStreams, begunStream{stream, v})
+	s.begunStreams = append(s.begunStreams, begunStream{stream: stream, version: v})
 	if s.OnStreams != nil {
 		s.OnStreams()
 	}
@@ -307,7 +309,7 @@
 	var list []Delivery
 	told := s.begunStreams[:min(len(s.begunStreams), maxStreamNews)]
 	for _, b := range told {
-		for _, i := range s.streamHolders(now, b.stream) {
+		for _, i := range s.streamHolders(now, b) {
 			m := messages[i.Peer]
 			if m == nil || len(m.Streams) >= maxStreamsPerMessage {
 				// Earlier releases ignore a brief report without a sender.
@@ -326,12 +328,15 @@
 // streamHolders returns the instances that are told of a stream, while its service is mixed: the one
 // that writes checkpoints, and of those that are asked for it the first one of another failure
 // domain, if there is any. In a small fleet they are one more.
-func (s *State) streamHolders(now time.Time, stream uint64) []crliveness.Instance {
+func (s *State) streamHolders(now time.Time, b begunStream) []crliveness.Instance {
 	var list []crliveness.Instance
 	if keeper, _ := s.roster.Keeper(now); keeper.Name != s.Self.Name {
 		list = append(list, keeper)
 	}
-	others := slices.DeleteFunc(s.roster.Holders(now, stream, askedHolders), func(i crliveness.Instance) bool { return slices.Contains(list, i) })
+	if b.keeperOnly {
+		return list
+	}
+	others := slices.DeleteFunc(s.roster.Holders(now, b.stream, askedHolders), func(i crliveness.Instance) bool { return slices.Contains(list, i) })
 	slices.SortStableFunc(others, func(a, b crliveness.Instance) int { return s.isOwnDomain(a) - s.isOwnDomain(b) })
 	count := 2
 	if s.roster.Large(now) {
@@ -348,14 +353,44 @@
 	return 0
 }
 
+// retoldTime is the age of the streams of which a new keeper is told. The one before has written what is
+// older, unless it couldn't reach the store.
+const retoldTime = 5 * time.Second
+
+// tellNewKeeper queues the streams that began here lately if the keeper isn't the one that they were told
+// to, as when this instance has only just heard of it.
+func (s *State) tellNewKeeper(now time.Time, several map[string]bool) {
+	run := s.roster.KeeperRun(now)
+	if run == s.keeperRun {
+		return
+	}
+	s.keeperRun = run
+	if run == 0 {
+		return
+	}
+	for service := range several {
+		for _, o := range s.versions.Own(now, service, retoldTime) {
+			s.begunStreams = append(s.begunStreams, begunStream{stream: o.ID, version: o.Version, keeperOnly: true})
+		}
+	}
+	if s.OnStreams != nil && len(s.begunStreams) > 0 {
+		s.OnStreams()
+	}
+}
+
 // KeptStreams returns the streams that began lately and their versions, and the name under which this
 // instance writes them to the store. The name is empty if another one does, or if no service
 // has or had several versions lately.
 func (s *State) KeptStreams(now time.Time) (*pb.KeptStreams, string) {
 	s.lock(now)
 	defer s.mu.Unlock()
+	several := s.versions.ServicesOfSeveral(now)
+	if len(several) == 0 {
+		return nil, ""
+	}
+	s.tellNewKeeper(now, several)
 	keeper, group := s.roster.Keeper(now)
-	if keeper.Name != s.Self.Name || len(s.versions.ServicesOfSeveral(now)) == 0 || !s.roster.MayKeep(now, now.Sub(s.startedAt)) {
+	if keeper.Name != s.Self.Name || !s.roster.MayKeep(now, now.Sub(s.startedAt)) {
 		return nil, ""
 	}
 	m := &pb.KeptStreams{}
--- a/core/crliveness/holder.go
+++ b/core/crliveness/holder.go
@@ -60,6 +60,15 @@
 	return running >= settling
 }
 
+// KeeperRun returns the run of the Keeper of this instance, or zero if that is the instance itself.
+func (r *Roster) KeeperRun(now time.Time) uint64 {
+	keeper, _ := r.Keeper(now)
+	if e := r.peers[keeper.Name]; e != nil {
+		return e.Run
+	}
+	return 0
+}
+
 // Keeper returns the live instance that writes what is to outlive all instances to the store: that
 // of this instance's failure domain in a large fleet, else that of the fleet. It also returns the
 // name of what it keeps that for.
--- a/core/crversion/table.go
+++ b/core/crversion/table.go
@@ -385,12 +385,15 @@
 	t.own = slices.Delete(t.own, 0, first)
 }
 
-// Own returns the streams of a service that began at this instance within the last minute, newest
-// first.
-func (t *Table) Own(now time.Time, service string) []Stream {
+// Own returns the streams of a service that began at this instance within the given time, a minute at
+// most, newest first.
+func (t *Table) Own(now time.Time, service string, within time.Duration) []Stream {
 	t.trimOwn(now)
 	var list []Stream
 	for _, o := range slices.Backward(t.own) {
+		if now.Sub(o.at) > within {
+			break
+		}
 		if o.service == service {
 			list = append(list, o.Stream)
 		}
