Let only instances that reach the store keep streams

In services of two versions, no stream that had begun while the keeper couldn't reach the store went on after a loss of all instances.

Cause: keepers are chosen by their processor time, whatever they say of their way to the store, as watchers aren't. One that had lost it, or was leaving, stayed the keeper.

Change: an instance that can't reach the store or is leaving comes after all others.

--- a/core/crgrant/newcomer_test.go
+++ b/core/crgrant/newcomer_test.go
@@ -417,7 +417,8 @@
 }
 
 // TestStreamsBetweenTwoLossesGoOn guards against streams of two versions that are refused since all
-// instances were lost again soon after they had started, or since the keeper was lost before.
+// instances were lost again soon after they had started, or since the keeper was lost or can't reach the
+// store.
 func TestStreamsBetweenTwoLossesGoOn(t *testing.T) {
 	for _, instances := range []int{3, 8, 30, 124, 780} {
 		for _, f := range []struct {
@@ -430,6 +431,11 @@
 			{"the keepers were lost", func(c *newcomer) {
 				c.lose(func(_ int, name string) bool { return c.keeps(name) })
 			}},
+			{"the keepers don't reach the store", func(c *newcomer) {
+				for _, name := range c.names {
+					c.unreachable[name] = c.keeps(name)
+				}
+			}},
 		} {
 			t.Run(fmt.Sprint(instances, " instances, ", f.name), func(t *testing.T) {
 				if instances > 124 && !*largestFleet {
--- a/core/crliveness/holder.go
+++ b/core/crliveness/holder.go
@@ -77,19 +77,29 @@
 	return r.Keepers(now)[group], group
 }
 
-// Keepers returns all instances that are a Keeper, by what they keep it for.
+// Keepers returns all instances that are a Keeper, by what they keep it for. Those that can't reach the
+// store or are leaving come last.
 func (r *Roster) Keepers(now time.Time) map[string]Instance {
-	keepers := map[string]Instance{r.keeperGroup(now, r.Self): r.Self}
+	self := r.keeperCandidate(r.Self, r.Status)
+	keepers := map[string]candidate{r.keeperGroup(now, r.Self): self}
 	for _, e := range r.peers {
 		if !r.alive(now, e) {
 			continue
 		}
-		group := r.keeperGroup(now, e.Instance)
-		if k, ok := keepers[group]; !ok || dutyScore(e.Instance, keeperDuty) < dutyScore(k, keeperDuty) {
-			keepers[group] = e.Instance
+		group, c := r.keeperGroup(now, e.Instance), r.keeperCandidate(e.Instance, e.Status)
+		if k, ok := keepers[group]; !ok || c.compare(&k) < 0 {
+			keepers[group] = c
 		}
 	}
-	return keepers
+	list := make(map[string]Instance, len(keepers))
+	for group, c := range keepers {
+		list[group] = c.Instance
+	}
+	return list
+}
+
+func (r *Roster) keeperCandidate(i Instance, s Status) candidate {
+	return candidate{Instance: i, unfit: s.StoreLost || s.Leaving, score: dutyScore(i, keeperDuty)}
 }
 
 // keeperGroup returns the name of what the keeper of an instance keeps.
