--- a/core/crgrant/outdated_test.go
+++ b/core/crgrant/outdated_test.go
@@ -189,6 +189,7 @@
 		for _, f := range outOfStep {
 			for _, recorded := range []bool{false, true} {
 				t.Run(fmt.Sprint(instances, " instances, ", f.name, ", recorded before ", recorded), func(t *testing.T) {
+					t.Parallel()
 					if instances > 124 && !*largestFleet {
 						t.Skip("takes minutes; run with -largest-fleet")
 					}
@@ -293,6 +294,7 @@
 func TestInstanceThatIsBehindDoesNotContinueStreams(t *testing.T) {
 	for _, instances := range []int{3, 8, 30, 124} {
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			t.Parallel()
 			r := newRelease(t, instances)
 			for _, name := range r.some() {
 				r.down[name] = true
@@ -343,6 +345,7 @@
 			}},
 		} {
 			t.Run(fmt.Sprint(instances, " instances, ", c.name), func(t *testing.T) {
+				t.Parallel()
 				if instances > 124 && !*largestFleet {
 					t.Skip("takes minutes; run with -largest-fleet")
 				}
--- a/io/crwatch/record.go
+++ b/io/crwatch/record.go
@@ -109,6 +109,7 @@
 	}
 	k.kept = Kept{Revision: revision, Data: data}
 	k.State.AddVersions(time.Now(), record)
+	k.Log.Info("watch: the record of versions changed", zap.Uint64("revision", revision), zap.Int("services", len(record.GetServices())))
 	return nil
 }
 
