Write the record of versions once an instance knows the others

Cause: while all instances start, each takes itself for the one that writes to the store until it hears the others, so that each would have written the record of versions 0.25 s after it was read.

Change: the time after which an instance may keep streams also holds for the record.

--- a/core/crgrant/newcomer_test.go
+++ b/core/crgrant/newcomer_test.go
@@ -82,7 +82,7 @@
 		c.release.play(200 * time.Millisecond)
 		for _, name := range c.names {
 			c.nodes[name].SetSelf(func(s *crliveness.Status) { s.StoreLost = c.unreachable[name] })
-			if c.down[name] || c.unreachable[name] || !c.nodes[name].WritesStore(c.now) || c.older[name] {
+			if c.down[name] || c.unreachable[name] || !c.nodes[name].KeepsRecord(c.now) || c.older[name] {
 				continue
 			}
 			n := c.nodes[name]
--- a/core/crgrant/version.go
+++ b/core/crgrant/version.go
@@ -204,6 +204,14 @@
 	s.versions.AwaitHistory()
 }
 
+// KeepsRecord reports whether this instance is the one that writes the record of versions to the store.
+// Instances that have just started don't know who is.
+func (s *State) KeepsRecord(now time.Time) bool {
+	s.lock(now)
+	defer s.mu.Unlock()
+	return s.roster.Leads(now) && s.roster.MayKeep(now, now.Sub(s.startedAt))
+}
+
 // VersionRecord returns the record for the store: the versions at which streams of services begin or
 // began lately, and those at which they are to begin once this is written.
 func (s *State) VersionRecord(now time.Time) *pb.VersionHistory {
--- a/io/crwatch/record.go
+++ b/io/crwatch/record.go
@@ -66,7 +66,7 @@
 		if w.cameBack(&era) {
 			k.read = false
 		}
-		if !w.State.WritesStore(time.Now()) {
+		if !w.State.KeepsRecord(time.Now()) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
