--- a/core/crgrant/outdated_test.go
+++ b/core/crgrant/outdated_test.go
@@ -249,13 +249,16 @@
 	return c.record != nil && len(c.record.Services[0].Versions) == versions
 }
 
-// used reports whether a stream may begin at the new version at any instance.
+// used reports whether a stream may begin at the new version at any instance. Placements are random, so
+// that each asks often.
 func (c *newcomer) used() bool {
+	const tries = 400
+	alive := len(c.names) - len(c.down)
 	for _, name := range c.names {
-		for range 4 {
-			if c.down[name] {
-				continue
-			}
+		if c.down[name] {
+			continue
+		}
+		for range max(4, tries/alive) {
 			g := c.nodes[name].Grant(c.now, takeUpAsk)
 			g.Drop(c.now)
 			if g.Endpoint != nil && g.Endpoint.Version == "v2" {
--- a/io/crwatch/record.go
+++ b/io/crwatch/record.go
@@ -21,6 +21,9 @@
 const (
 	// versionsPause is the time between two checks whether the record of versions has changed.
 	versionsPause = 250 * time.Millisecond
+	// recordReadPause is the time between two reads of the record while there are newcomers. Behind a
+	// cut, another instance may write it, too.
+	recordReadPause = 500 * time.Millisecond
 	// versionsTimeout bounds a read of the versions of services. Callers wait for it.
 	versionsTimeout = 400 * time.Millisecond
 	// versionsWait is how long that read waits for changes.
@@ -45,8 +48,9 @@
 	*Watcher
 	// kept is the record that this instance knows. read is false before it is known what the store
 	// holds.
-	kept Kept
-	read bool
+	kept   Kept
+	read   bool
+	readAt time.Time
 }
 
 // keepRecord reads the record of the versions at which streams begin, and saves it when it changes while
@@ -82,7 +86,7 @@
 
 // save writes the record if it has changed. What another instance has written meanwhile is taken over.
 func (k *recordKeeper) save(ctx context.Context) error {
-	if !k.read {
+	if !k.read || k.State.HasNewcomers(time.Now()) && time.Since(k.readAt) >= recordReadPause {
 		kept, err := k.Versions.Read(ctx)
 		if err != nil {
 			return err
@@ -114,7 +118,7 @@
 }
 
 func (k *recordKeeper) takeOver(kept Kept) {
-	k.kept, k.read = kept, true
+	k.kept, k.read, k.readAt = kept, true, time.Now()
 	k.State.AddVersions(time.Now(), k.decodeRecord(kept.Data))
 }
 
