Let instances of an earlier release keep streams last

No stream held events of two versions.

Cause: beside instances of the earlier release, one of these may be the keeper.

Change: they come after all instances of this release, as those without a way to the store do. Both kinds may then write at the same time; each adds to what the other has written. Nothing changes in a fleet of one release.

TestUnfitInstancesAreNoKeepers fails without it.

--- a/core/crliveness/holder.go
+++ b/core/crliveness/holder.go
@@ -78,7 +78,7 @@
 }
 
 // Keepers returns all instances that are a Keeper, by what they keep it for. Those that can't reach the
-// store or are leaving come last.
+// store, are leaving or are of an earlier release, which keeps nothing in its first seconds, come last.
 func (r *Roster) Keepers(now time.Time) map[string]Instance {
 	self := r.keeperCandidate(r.Self, r.Status)
 	keepers := map[string]candidate{r.keeperGroup(now, r.Self): self}
@@ -99,7 +99,7 @@
 }
 
 func (r *Roster) keeperCandidate(i Instance, s Status) candidate {
-	return candidate{Instance: i, unfit: s.StoreLost || s.Leaving, score: dutyScore(i, keeperDuty)}
+	return candidate{Instance: i, unfit: s.StoreLost || s.Leaving || s.IgnoresRecord, score: dutyScore(i, keeperDuty)}
 }
 
 // keeperGroup returns the name of what the keeper of an instance keeps.
--- a/core/crliveness/holder_test.go
+++ b/core/crliveness/holder_test.go
@@ -56,3 +56,24 @@
 		}
 	}
 }
+
+// TestUnfitInstancesAreNoKeepers guards against streams that are refused after a loss of all instances
+// since an instance should have written their versions that doesn't do so.
+func TestUnfitInstancesAreNoKeepers(t *testing.T) {
+	now := time.Date(2026, 12, 7, 0, 0, 0, 0, time.UTC)
+	for name, status := range map[string]crliveness.Status{
+		"it doesn't reach the store":   {StoreLost: true},
+		"it is leaving":                {Leaving: true},
+		"it is of an earlier release":  {IgnoresRecord: true},
+		"it is fit, and the most able": {},
+	} {
+		r := &crliveness.Roster{Self: crliveness.Instance{Name: "own", Millicores: 100}}
+		other := crliveness.Instance{Name: "other", Millicores: 4000, Peer: netip.MustParseAddrPort("10.0.0.1:81")}
+		fit := status == crliveness.Status{}
+		status.Run, status.Sequence, status.Ready = 1, 1, true
+		r.Report(now, other, status)
+		if keeper, _ := r.Keeper(now); (keeper.Name == "other") != fit {
+			t.Errorf("%s: the keeper is %s", name, keeper.Name)
+		}
+	}
+}
